--- a/cmake/briarwood.cmake
+++ b/cmake/briarwood.cmake
@@ -56,6 +56,27 @@
   endforeach()
 endfunction()
 
+# Adapter to the users' platform: a library of platform/*.cc, and one program per *_main.cc.
+function(briarwood_platform)
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*.cc)
+  file(GLOB mains CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*_main.cc)
+  list(REMOVE_ITEM sources ${mains})
+  add_library(briarwood_platform STATIC ${sources})
+  target_compile_options(briarwood_platform PRIVATE ${BRIARWOOD_WARNINGS})
+  target_include_directories(briarwood_platform PUBLIC ${PROJECT_SOURCE_DIR})
+  target_link_libraries(briarwood_platform PUBLIC briarwood jsoncpp)
+  foreach(main ${mains})
+    get_filename_component(name ${main} NAME_WE)
+    string(REPLACE "_main" "" name ${name})
+    add_executable(briarwood-platform-${name} ${main})
+    target_compile_options(briarwood-platform-${name} PRIVATE ${BRIARWOOD_WARNINGS})
+    target_compile_definitions(briarwood-platform-${name} PRIVATE
+      BRIARWOOD_VERSION="${PROJECT_VERSION}")
+    target_link_libraries(briarwood-platform-${name} PRIVATE briarwood_platform
+      Boost::program_options)
+  endforeach()
+endfunction()
+
 # One test program per folder of tests/: tests/<module>/*_test.cc.
 function(briarwood_tests)
   include(GoogleTest)
@@ -70,7 +91,7 @@
       target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
       target_compile_definitions(${target} PRIVATE
         BRIARWOOD_SOURCE_DIR="${PROJECT_SOURCE_DIR}" BRIARWOOD_BINARY_DIR="${PROJECT_BINARY_DIR}")
-      target_link_libraries(${target} PRIVATE briarwood GTest::gmock GTest::gtest_main)
+      target_link_libraries(${target} PRIVATE briarwood_platform GTest::gmock GTest::gtest_main)
       gtest_discover_tests(${target} DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT 120)
     endif()
   endforeach()
--- a/include/briarwood/common/time.h
+++ b/include/briarwood/common/time.h
@@ -5,9 +5,25 @@
 
 namespace briarwood::common {
 
-/// Point on the monotonic clock of one process; tests build it from a duration.
-using Time = std::chrono::steady_clock::time_point;
-using Duration = std::chrono::steady_clock::duration;
+/// Monotonic clock that also counts the time in which the VM is suspended (CLOCK_BOOTTIME).
+///
+/// Leases, key freshness and deadlines hang on it: on std::chrono::steady_clock, which stands still
+/// during a suspension, a leader that wakes up would still believe in its lease.
+struct BootClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): required of a clock
+  static constexpr bool is_steady = true;
+
+  // NOLINTNEXTLINE(readability-identifier-naming): required of a clock
+  [[nodiscard]] static time_point now() noexcept;
+};
+
+/// Point on the boot clock of one process; tests build it from a duration.
+using Time = BootClock::time_point;
+using Duration = BootClock::duration;
 
 /// Wall clock time in milliseconds since the Unix epoch.
 using UnixMillis = std::chrono::duration<std::int64_t, std::milli>;
--- a/include/briarwood/common/timer_service.h
+++ b/include/briarwood/common/timer_service.h
@@ -49,7 +49,7 @@
   /// \param period  positive
   [[nodiscard]] Subscription Subscribe(Duration period, Callback callback);
 
-  [[nodiscard]] static Time Now() noexcept { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] static Time Now() noexcept { return common::BootClock::now(); }
 
  private:
   struct Entry {
--- a/include/briarwood/consensus/raft.h
+++ b/include/briarwood/consensus/raft.h
@@ -95,6 +95,8 @@
   [[nodiscard]] std::optional<common::Term> TermAt(common::LogIndex index) const noexcept;
   /// Known match of another member; leader only.
   [[nodiscard]] std::optional<common::LogIndex> MatchOf(common::MemberId member) const noexcept;
+  /// Send time of the latest round that another member acknowledged; leader only.
+  [[nodiscard]] std::optional<common::Time> LastAckOf(common::MemberId member) const noexcept;
 
   /// End of the leader's lease on this member's clock; nothing when there is no lease.
   [[nodiscard]] std::optional<common::Time> lease_end() const;
--- a/include/briarwood/control/admin_backend.h
+++ b/include/briarwood/control/admin_backend.h
@@ -32,6 +32,10 @@
   /// Calls `read` while no command is applied.
   virtual void ReadState(const std::function<void(const ControlState&)>& read) const = 0;
 
+  /// Waits until this member's state holds everything that was acknowledged before the call.
+  /// \returns false when a majority did not confirm that within `timeout`.
+  [[nodiscard]] virtual bool ConfirmRead(Milliseconds timeout) = 0;
+
   [[nodiscard]] virtual schema::MemberStatus Status() const = 0;
 
   /// Daemons that this member knows of, itself included.
--- a/include/briarwood/control/configuration_parser.h
+++ b/include/briarwood/control/configuration_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -12,6 +13,15 @@
 /// One sentence per problem, with file, line, key, found and expected value.
 using Problems = std::vector<std::string>;
 
+/// Which versions of a document are accepted.
+enum class ApplyRule : std::uint8_t {
+  /// The version after the one in force; a resend with the same content gets its first answer.
+  kReplaceNext,
+  /// Any version above the one in force. A valid document with another version is acknowledged and
+  /// changes nothing, so that resends and overtaken changes are never refused.
+  kHighestVersion,
+};
+
 /// How the control state reads configuration; both functions must be deterministic, because every
 /// member applies the same log.
 struct ConfigurationParser {
@@ -21,6 +31,7 @@
       parse;
   /// Checks the merged configuration of all documents.
   std::function<Problems(const schema::Configuration& merged)> validate;
+  ApplyRule rule = ApplyRule::kReplaceNext;
 };
 
 /// \returns the parser of TOML documents of briarwood::settings.
--- a/include/briarwood/control/leader_duties.h
+++ b/include/briarwood/control/leader_duties.h
@@ -27,6 +27,8 @@
   std::function<common::UnixMillis()> wall_clock;
   /// Incarnations that died since the last call.
   std::function<std::vector<membership::DeadIncarnation>()> take_dead;
+  /// Pause after a report without an answer; the platform may be slow or down.
+  common::Duration report_pause{};
 };
 
 /// Work of the leader towards the platform: closes and reports usage windows, sends orders and
@@ -62,6 +64,9 @@
   PlatformPort platform_;
   /// Orders of this leadership that were sent, whatever the answer.
   std::set<std::uint64_t> sent_;
+  /// Term under which the platform refused a report as overtaken.
+  common::Term fenced_term_;
+  common::Time report_pause_until_;
   /// Incarnations whose declaration is not committed yet.
   std::vector<membership::DeadIncarnation> dead_;
 };
--- a/include/briarwood/control/node_options.h
+++ b/include/briarwood/control/node_options.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "briarwood/common/ids.h"
 #include "briarwood/common/time.h"
@@ -49,6 +50,15 @@
   common::LogIndex index;
 };
 
+/// What the leader knows of another member.
+struct MemberContact {
+  common::MemberId id;
+  /// Entries up to this one are durable at the member.
+  common::LogIndex match;
+  /// Send time of the latest message that the member acknowledged to this leader.
+  std::optional<common::Time> last_ack;
+};
+
 struct NodeStatus {
   common::MemberId id;
   consensus::Role role = consensus::Role::kFollower;
@@ -59,6 +69,8 @@
   common::LogIndex commit_index;
   common::LogIndex applied_index;
   schema::Membership membership;
+  /// At the leader: the other members.
+  std::vector<MemberContact> contacts;
   /// Empty unless the member has failed.
   std::string failure;
 };
--- a/include/briarwood/control/replicated_node.h
+++ b/include/briarwood/control/replicated_node.h
@@ -62,6 +62,11 @@
   /// \returns true when another member leads or this one never did.
   [[nodiscard]] bool TransferLeadership(common::MemberId target, Milliseconds timeout);
 
+  /// Waits until everything that was acknowledged before this call is applied here and a majority
+  /// has confirmed that.
+  /// \returns false when that was not possible within `timeout`; the state may be out of date then.
+  [[nodiscard]] bool ConfirmRead(Milliseconds timeout);
+
   /// \returns nothing until the first confirmation.
   [[nodiscard]] std::optional<Confirmation> confirmation() const;
   /// True while this member leads, holds its lease for at least the send margin beyond `now`, all
--- a/include/briarwood/daemon/daemon.h
+++ b/include/briarwood/daemon/daemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "briarwood/common/result.h"
@@ -43,6 +45,13 @@
 /// Waits for SIGTERM or SIGINT, which RunDaemon has blocked in all threads.
 void WaitForStopSignal();
 
+enum class ProcessSignal : unsigned char { kStop, kReload };
+
+/// Waits for SIGTERM or SIGINT (kStop) or SIGHUP (kReload), which RunDaemon has blocked in all
+/// threads.
+/// \returns nothing when `limit` passed first.
+[[nodiscard]] std::optional<ProcessSignal> WaitForSignal(std::chrono::milliseconds limit);
+
 /// Throws DaemonError when `listen` is neither loopback nor allowed to be plain text.
 void RequireProtectedListener(const schema::NodeSettings& node, const std::string& listen,
                               bool has_certificate);
--- a/include/briarwood/distribution/replica.h
+++ b/include/briarwood/distribution/replica.h
@@ -73,6 +73,10 @@
   [[nodiscard]] std::vector<schema::Route> Routes() const;
   [[nodiscard]] std::vector<schema::BackendServer> BackendServers() const;
   [[nodiscard]] std::vector<schema::Vm> Vms() const;
+  [[nodiscard]] std::vector<schema::ForwardRoute> ForwardRoutes() const;
+  [[nodiscard]] std::vector<schema::Service> Services() const;
+  /// \returns nothing while the configuration has none.
+  [[nodiscard]] std::optional<schema::CallerLimits> CallerLimits() const;
   /// Ids of backend servers that operators drain.
   [[nodiscard]] std::vector<common::BackendServerId> Draining() const;
   /// Suspects by fingerprint in hex (high, then low).
--- /dev/null
+++ b/include/briarwood/http/blocking_call.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "briarwood/common/result.h"
+#include "briarwood/http/heads.h"
+
+namespace briarwood::http {
+
+/// Whole response of a call.
+struct CallResponse {
+  ResponseHead head;
+  std::string body;
+};
+
+/// Sends one request over a connection of its own and waits for the whole response.
+/// \param address  "ip:port"
+/// \returns the response, or a sentence why there is none.
+[[nodiscard]] common::Result<CallResponse> CallAndWait(const std::string& address,
+                                                       const RequestHead& head, std::string body,
+                                                       std::chrono::milliseconds timeout);
+
+}  // namespace briarwood::http
--- a/include/briarwood/observability/log.h
+++ b/include/briarwood/observability/log.h
@@ -14,7 +14,7 @@
 struct LogOptions {
   LogFormat format = LogFormat::kText;
   LogLevel level = LogLevel::kInfo;
-  /// Empty means standard error.
+  /// Empty means standard error, "-" standard output.
   std::string file;
 };
 
--- /dev/null
+++ b/include/briarwood/observability/log_line.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace briarwood::observability {
+
+/// Builds one structured log line: the name of an event and fields as key=value, with values quoted
+/// that hold other characters than letters, digits and "._:/@-".
+///
+/// \code
+/// log.Info(LogLine("request_end").Add("request", id).Add("status", 200).text());
+/// \endcode
+class LogLine {
+ public:
+  explicit LogLine(std::string_view event) : text_("event=") { text_ += event; }
+
+  LogLine& Add(std::string_view key, std::string_view value);
+  LogLine& Add(std::string_view key, const char* value) {
+    return Add(key, std::string_view(value));
+  }
+  template <typename Number>
+  requires std::is_arithmetic_v<Number> LogLine& Add(std::string_view key, Number value) {
+    if constexpr (std::is_same_v<Number, bool>) {
+      return Add(key, std::string_view(value ? "true" : "false"));
+    } else {
+      return Add(key, std::string_view(std::to_string(value)));
+    }
+  }
+
+  [[nodiscard]] const std::string& text() const noexcept { return text_; }
+
+ private:
+  std::string text_;
+};
+
+}  // namespace briarwood::observability
--- a/include/briarwood/proposals/proposer.h
+++ b/include/briarwood/proposals/proposer.h
@@ -28,6 +28,9 @@
  public:
   explicit Proposer(ProposerOptions options);
 
+  /// Replaces the control members that are asked.
+  void SetMembers(std::vector<std::string> members);
+
   /// Blocks until the command is applied or `deadline` has passed. Not for threads of the HTTP
   /// library.
   /// \returns STATUS_APPLIED with the result; STATUS_UNKNOWN when the command may have reached a
--- a/include/briarwood/proposals/usage_reporter.h
+++ b/include/briarwood/proposals/usage_reporter.h
@@ -35,6 +35,9 @@
 
   void Hold(const schema::BillingRecord& record);
 
+  /// Replaces the control members that batches are sent to.
+  void SetMembers(std::vector<std::string> members) { proposer_.SetMembers(std::move(members)); }
+
   /// Another process has committed these records.
   void Acknowledge(const schema::AcknowledgeUsage& acknowledgement);
 
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -131,6 +131,9 @@
   /// Outcomes for the circuit breaker of the server.
   void OnSuccess(const common::BackendServerId& id);
   void OnFailure(const common::BackendServerId& id, common::Time now);
+  /// The request ended without telling whether the server works, for example because its caller
+  /// left.
+  void OnNoVerdict(const common::BackendServerId& id);
   /// The agent answered full: what the entry believed is out of date.
   void OnFull(const common::BackendServerId& id, bool alone, common::Time now);
 
--- a/include/briarwood/routing/scheduler.h
+++ b/include/briarwood/routing/scheduler.h
@@ -86,6 +86,9 @@
 /// \endcode
 class Scheduler {
  public:
+  /// Classes that changing configurations can add up to.
+  static constexpr std::size_t kMostClasses = 256;
+
   /// Says whether a request can be placed now; called for the heads of customer queues.
   /// The last argument tells that the class is owed its floor.
   using Placeable = std::function<bool(const QueuedRequest&, common::Tier, bool floor_owed)>;
@@ -93,6 +96,11 @@
   /// \returns an error when class ids repeat or the floors add up to more than 1.
   static common::Result<Scheduler> Create(SchedulerOptions options);
 
+  /// Adds a class or changes the policy of a known one; requests that are queued keep the deadlines
+  /// they have. Beyond kMostClasses, a class without requests gives its place to a new one.
+  /// \returns false when all places are taken by classes with requests.
+  bool SetClass(const ClassPolicy& policy);
+
   /// Relative share of a customer inside each class; customers that are not set have 1.
   void SetWeight(const common::CustomerId& customer, double weight);
 
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -100,7 +100,7 @@
   schema::LoadReport load;
   load.set_backend_server(options_.backend_server);
   load.set_agent_incarnation(options_.incarnation.value());
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   load.set_running(runs_.running());
   load.set_capacity(runs_.OfferedCapacity(now));
   load.set_leaving(runs_.leaving());
@@ -139,7 +139,7 @@
     exchange->Respond(MakeResponse(http::Status::kBadRequest, "invalid run request\n"));
     return;
   }
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   const auto run = std::make_shared<Run>(std::move(*request), exchange, now);
   exchange->StartStream(http::ToNumber(http::Status::kOk),
                         {{"Content-Type", "application/x-ndjson"}});
@@ -302,7 +302,7 @@
 
 void AgentCore::NoteToken(const Run& run) {
   runs_.OnToken(run.key());
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   const std::uint32_t running = std::max(runs_.running(), 1U);
   const std::lock_guard lock(mutex_);
   if (last_token_at_ != common::Time{}) {
--- a/src/agent/agent_node.cc
+++ b/src/agent/agent_node.cc
@@ -180,7 +180,7 @@
     crash.set_now_unix_ms(proposals::WallClockMillis());
     schema::Command command;
     *command.mutable_record_crash() = std::move(crash);
-    proposer.Propose(std::move(command), std::chrono::steady_clock::now() + kCrashReportTimeout,
+    proposer.Propose(std::move(command), common::BootClock::now() + kCrashReportTimeout,
                      [done](const schema::ProposeResponse&) { done(); });
   }
 
--- a/src/agent/run.cc
+++ b/src/agent/run.cc
@@ -101,7 +101,7 @@
   event.set_request_id(request_.request_id());
   event.set_entry_incarnation(request_.entry_incarnation());
   event.set_attempt(request_.attempt());
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   if (!event.has_token() || now - last_load_at_ >= kLoadSamplePeriod) {
     *event.mutable_load() = load;
     last_load_at_ = now;
--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <thread>
 
+#include "briarwood/common/time.h"
 #include "cli/impl/ctl_error.h"
 
 namespace briarwood::cli::impl {
@@ -121,7 +122,7 @@
 
 std::string AdminClient::Call(const std::string& method, const std::string& path,
                               const std::string& body) {
-  const auto deadline = std::chrono::steady_clock::now() + timeout_;
+  const auto deadline = common::BootClock::now() + timeout_;
   std::set<std::string> reported;
   for (auto pause = kFirstResendPause;; pause = std::min(2 * pause, kLongestResendPause)) {
     std::string problem;
@@ -129,7 +130,7 @@
       if (reply->status >= kFirstErrorStatus) ThrowError(*reply);
       return std::move(reply->body);
     }
-    if (std::chrono::steady_clock::now() + pause >= deadline) {
+    if (common::BootClock::now() + pause >= deadline) {
       throw CtlError(ExitCode::kUnavailable, problem);
     }
     if (reported.insert(problem).second) {
--- a/src/cli/ctl_commands.cc
+++ b/src/cli/ctl_commands.cc
@@ -5,6 +5,7 @@
 #include <ostream>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/common/time.h"
 #include "cli/impl/ctl_error.h"
 #include "cli/impl/table.h"
 
@@ -217,10 +218,10 @@
   if (!options_.wait) return;
   // Shorter than the time-out of one call.
   constexpr std::chrono::milliseconds kLongestPoll{5000};
-  const auto deadline = std::chrono::steady_clock::now() + *options_.wait;
+  const auto deadline = common::BootClock::now() + *options_.wait;
   while (true) {
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline - std::chrono::steady_clock::now());
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - common::BootClock::now());
     const auto poll = std::clamp(remaining, std::chrono::milliseconds(0), kLongestPoll);
     schema::InForceResponse response;
     const std::string json = client_.Call(
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -132,6 +132,12 @@
   return common::LogIndex(progress->second.match);
 }
 
+std::optional<common::Time> Raft::LastAckOf(common::MemberId member) const noexcept {
+  const auto progress = progress_.find(member.value());
+  if (role_ != Role::kLeader || progress == progress_.end()) return std::nullopt;
+  return progress->second.acked_at;
+}
+
 bool Raft::IsVoter(std::uint64_t id) const noexcept {
   const schema::Member* member = FindMember(membership(), id);
   return member != nullptr && member->voter();
--- a/src/control/admin_api.cc
+++ b/src/control/admin_api.cc
@@ -118,7 +118,7 @@
     if (first == jobs_.end()) {
       if (stopping_) return false;
       changed_.wait(lock);
-    } else if (!stopping_ && first->due > std::chrono::steady_clock::now()) {
+    } else if (!stopping_ && first->due > common::BootClock::now()) {
       changed_.wait_until(lock, common::Time(first->due));
     } else {
       job = std::move(*first);
@@ -140,7 +140,7 @@
 }
 
 void AdminApi::Execute(Job job) {
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   const http::Request& request = job.exchange->request();
   http::Response response{.headers = {{"Content-Type", "application/json"}}};
   try {
--- a/src/control/configuration_rows.cc
+++ b/src/control/configuration_rows.cc
@@ -22,15 +22,24 @@
   AddById(schema::ROW_KIND_MODEL, merged.models(), rows);
   AddById(schema::ROW_KIND_BACKEND_SERVER, merged.backend_servers(), rows);
   AddById(schema::ROW_KIND_VM, merged.vms(), rows);
+  AddById(schema::ROW_KIND_SERVICE, merged.services(), rows);
   for (const schema::Route& route : merged.routes()) {
     rows[{schema::ROW_KIND_ROUTE, route.path()}] = route.SerializeAsString();
   }
+  for (const schema::ForwardRoute& route : merged.forward_routes()) {
+    rows[{schema::ROW_KIND_FORWARD_ROUTE, route.host() + route.path_prefix()}] =
+        route.SerializeAsString();
+  }
   if (merged.has_capacity()) {
     rows[{schema::ROW_KIND_CAPACITY, "capacity"}] = merged.capacity().SerializeAsString();
   }
   if (merged.has_usage()) {
     rows[{schema::ROW_KIND_USAGE_REPORTING, "usage"}] = merged.usage().SerializeAsString();
   }
+  if (merged.has_caller_limits()) {
+    rows[{schema::ROW_KIND_CALLER_LIMITS, "caller_limits"}] =
+        merged.caller_limits().SerializeAsString();
+  }
   return rows;
 }
 
@@ -45,6 +54,9 @@
     case schema::ROW_KIND_CAPACITY:
     case schema::ROW_KIND_USAGE_REPORTING:
     case schema::ROW_KIND_VM:
+    case schema::ROW_KIND_FORWARD_ROUTE:
+    case schema::ROW_KIND_SERVICE:
+    case schema::ROW_KIND_CALLER_LIMITS:
       return true;
     default:
       return false;
@@ -89,6 +101,15 @@
     case schema::ROW_KIND_VM:
       row = configuration.add_vms();
       break;
+    case schema::ROW_KIND_FORWARD_ROUTE:
+      row = configuration.add_forward_routes();
+      break;
+    case schema::ROW_KIND_SERVICE:
+      row = configuration.add_services();
+      break;
+    case schema::ROW_KIND_CALLER_LIMITS:
+      row = configuration.mutable_caller_limits();
+      break;
     default:
       return configuration;
   }
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -1,5 +1,6 @@
 #include "briarwood/control/control_daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <fstream>
@@ -11,20 +12,27 @@
 
 #include "briarwood/common/timer_service.h"
 #include "briarwood/control/admin_api.h"
+#include "briarwood/control/agreed_clock.h"
 #include "briarwood/control/control_node.h"
 #include "briarwood/control/fleet_view.h"
+#include "briarwood/control/group_start.h"
 #include "briarwood/control/leader_duties.h"
+#include "briarwood/control/member_identity.h"
+#include "briarwood/control/membership_planner.h"
 #include "briarwood/distribution/sync_server.h"
 #include "briarwood/observability/log.h"
+#include "briarwood/observability/log_line.h"
 #include "briarwood/observability/metrics.h"
 #include "briarwood/observability/status_server.h"
 #include "briarwood/rpc/advertised_address.h"
 #include "briarwood/rpc/client.h"
 #include "briarwood/rpc/server.h"
+#include "briarwood/storage/error.h"
 
 namespace briarwood::control {
 namespace {
 
+using observability::LogLine;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kDutyPeriod{250};
@@ -34,6 +42,23 @@
 // A member without a recent confirmation shows old state and does not count as ready.
 constexpr std::chrono::seconds kReadyConfirmation{5};
 constexpr unsigned kRpcThreads = 16;
+constexpr milliseconds kReportPause{1000};
+constexpr milliseconds kJoinTimeout{700};
+constexpr milliseconds kRepairTimeout{500};
+constexpr milliseconds kGroupTimeout{400};
+constexpr milliseconds kGroupConfirmation{1000};
+/// Time without a confirmed state after which a member asks whether it was removed.
+constexpr milliseconds kLonely{3000};
+/// The list lags by most of a second, and a leaving backend server must get no new work after
+/// three; half of a second more for the sync leaves one lost reading.
+constexpr milliseconds kListPeriod{600};
+
+MembershipPlannerOptions PlannerOptions(const schema::ControlSettings& settings) {
+  MembershipPlannerOptions options;
+  // A majority is left when that many are lost.
+  if (settings.tolerated_losses() != 0) options.voters = 2 * settings.tolerated_losses() + 1;
+  return options;
+}
 
 common::UnixMillis WallClock() {
   return std::chrono::duration_cast<common::UnixMillis>(
@@ -85,9 +110,12 @@
 
   /// \returns an empty string, or what went wrong.
   std::string Start() {
+    if (std::string problem = ChooseIdentity(); !problem.empty()) return problem;
     auto node =
-        ControlNode::Create(MakeNodeOptions(), rpc_server_, timers_, ControlState(),
-                            [](std::string_view bytes) { return ControlState::Restore(bytes); });
+        ControlNode::Create(MakeNodeOptions(), rpc_server_, timers_, ControlState(options_.parser),
+                            [parser = options_.parser](std::string_view bytes) {
+                              return ControlState::Restore(bytes, parser);
+                            });
     if (!node.ok()) return node.error();
     node_ = std::move(node).value();
     // Claims and usage change no row; children take their index at the next regular sync.
@@ -99,17 +127,24 @@
     const auto rpc_port = rpc_server_.Start(MakeRpcOptions());
     if (!rpc_port.ok()) return rpc_port.error();
     rpc_port_ = rpc_port.value();
-    const schema::ControlSettings& settings = options_.settings;
-    node_->Start({settings.peers().begin(), settings.peers().end()}, settings.join());
+    node_->Start(peers_, join_);
     if (std::string problem = StartHttp(); !problem.empty()) return problem;
     MakeDuties();
     threads_.emplace_back([this] { RunDuties(); });
     threads_.emplace_back([this] { RunReports(); });
+    if (options_.read_backends) threads_.emplace_back([this] { RunBackendList(); });
+    log_.Info(LogLine("started")
+                  .Add("member", id_.value())
+                  .Add("incarnation", options_.incarnation.value())
+                  .Add("joined", join_)
+                  .text());
     return {};
   }
 
   [[nodiscard]] std::uint16_t rpc_port() const noexcept { return rpc_port_; }
-  [[nodiscard]] std::uint16_t admin_port() const noexcept { return admin_->port(); }
+  [[nodiscard]] std::uint16_t admin_port() const noexcept {
+    return admin_ == nullptr ? 0 : admin_->port();
+  }
   [[nodiscard]] bool Leads() const { return node_->status().role == consensus::Role::kLeader; }
 
   bool Drain(milliseconds limit) {
@@ -117,6 +152,13 @@
     return node_->TransferLeadership(common::MemberId(0), limit);
   }
 
+  void SetSeeds(const std::vector<std::string>& seeds) {
+    const std::lock_guard lock(seeds_mutex_);
+    seeds_ = seeds;
+  }
+
+  bool ConfirmRead(Milliseconds timeout) override { return node_->ConfirmRead(timeout); }
+
   schema::ProposeResponse Propose(const schema::Command& command, Milliseconds timeout) override {
     schema::ProposeResponse response = node_->Propose(command, timeout);
     if (response.status() != schema::ProposeResponse::STATUS_NOT_LEADER) return response;
@@ -180,10 +222,52 @@
     return options_.settings.node().internal_tls().ca_file();
   }
 
+  [[nodiscard]] bool forms_itself() const { return !options_.settings.seeds().empty(); }
+
+  [[nodiscard]] std::vector<std::string> seeds() const {
+    const std::lock_guard lock(seeds_mutex_);
+    return seeds_;
+  }
+
+  /// Sets id, initial peers and mode of start.
+  /// \returns an empty string, or what went wrong.
+  std::string ChooseIdentity() {
+    const schema::ControlSettings& settings = options_.settings;
+    if (!forms_itself()) {
+      id_ = common::MemberId(settings.member_id());
+      peers_.assign(settings.peers().begin(), settings.peers().end());
+      join_ = settings.join();
+      return {};
+    }
+    const auto start =
+        PrepareGroupStart(files_, {.settings = settings,
+                                   .credential = options_.credential,
+                                   .incarnation = options_.incarnation,
+                                   .seeds = [this] { return seeds(); },
+                                   .interrupted = options_.interrupted,
+                                   .log = [this](const std::string& line) { log_.Info(line); }});
+    if (!start.ok()) return start.error();
+    id_ = start.value().id;
+    peers_ = start.value().initial_peers;
+    join_ = peers_.empty();
+    return {};
+  }
+
+  /// Wall clock that the processes agree on; the own one before there is an agreement.
+  [[nodiscard]] common::UnixMillis AgreedWallClock() const {
+    const std::lock_guard lock(clock_mutex_);
+    return agreed_clock_.At(common::TimerService::Now()).value_or(WallClock());
+  }
+
+  void ObserveClock(const std::string& process, common::UnixMillis wall) {
+    const std::lock_guard lock(clock_mutex_);
+    agreed_clock_.Observe(process, wall, common::TimerService::Now());
+  }
+
   [[nodiscard]] NodeOptions MakeNodeOptions() {
     const schema::ControlSettings& settings = options_.settings;
     NodeOptions node;
-    node.id = common::MemberId(settings.member_id());
+    node.id = id_;
     node.data_folder = settings.data_folder();
     node.timing = TimingOf(settings);
     node.credential = options_.credential;
@@ -196,7 +280,7 @@
       if (options_.on_failure) options_.on_failure(reason);
     };
     node.log = [this](const std::string& line) { log_.Info(line); };
-    node.prepare = [](schema::Command& command) { StampTime(command, WallClock()); };
+    node.prepare = [this](schema::Command& command) { StampTime(command, AgreedWallClock()); };
     return node;
   }
 
@@ -222,13 +306,181 @@
             .on_request =
                 [this](const schema::SyncRequest& request) {
                   fleet_.OnSync(request, common::TimerService::Now());
+                  if (request.wall_unix_ms() == 0) return;
+                  ObserveClock(
+                      request.node().id(),
+                      common::UnixMillis(static_cast<std::int64_t>(request.wall_unix_ms())));
                 },
             .complete =
                 [this](const schema::SyncRequest& request, schema::SyncResponse& response) {
                   fleet_.Complete(request, response, common::TimerService::Now());
+                  if (forms_itself()) AddGroup(request, response);
                 }};
   }
 
+  /// Adds what a process needs in a group that finds itself: members, backend servers and time.
+  void AddGroup(const schema::SyncRequest& request, schema::SyncResponse& response) {
+    for (const std::string& address : MemberAddresses()) response.add_control_rpc(address);
+    response.set_agreed_unix_ms(static_cast<std::uint64_t>(AgreedWallClock().count()));
+    if (request.backends_age_ms_plus_one() == 0) return;
+    const common::Time now = common::TimerService::Now();
+    const std::lock_guard lock(backends_mutex_);
+    if (!backends_read_at_) return;
+    const auto age = std::chrono::ceil<milliseconds>(now - *backends_read_at_);
+    if (static_cast<std::uint64_t>(age.count()) + 1 >= request.backends_age_ms_plus_one()) return;
+    schema::BackendList& list = *response.mutable_backends();
+    if (request.backends_digest() == backends_.digest()) {
+      list.set_digest(backends_.digest());
+      list.set_unchanged(true);
+    } else {
+      list = backends_;
+    }
+    list.set_age_ms(static_cast<std::uint64_t>(age.count()));
+  }
+
+  /// RPC addresses of the members, the leader's first.
+  [[nodiscard]] std::vector<std::string> MemberAddresses() const {
+    const NodeStatus status = node_->status();
+    std::vector<std::string> addresses;
+    for (const schema::Member& member : status.membership.members()) {
+      const bool leads = member.id() == status.leader.value();
+      addresses.insert(leads ? addresses.begin() : addresses.end(), member.rpc_address());
+    }
+    return addresses;
+  }
+
+  /// Takes a process with an empty folder in as a learner.
+  [[nodiscard]] schema::JoinResponse TakeIn(const schema::JoinRequest& request) {
+    schema::JoinResponse response;
+    const NodeStatus status = node_->status();
+    for (const std::string& address : MemberAddresses()) response.add_control_rpc(address);
+    if (status.role != consensus::Role::kLeader) {
+      response.set_leader_rpc(status.leader_rpc);
+      return response;
+    }
+    const std::lock_guard lock(join_mutex_);
+    common::MemberId& known = joined_[request.incarnation()];
+    if (known != common::MemberId()) {
+      response.set_member_id(known.value());
+      return response;
+    }
+    std::uint64_t highest = status.membership.highest_id();
+    for (const schema::Member& member : status.membership.members()) {
+      highest = std::max(highest, member.id());
+    }
+    schema::Member member;
+    member.set_id(highest + 1);
+    member.set_rpc_address(request.rpc_address());
+    member.set_failure_domain(request.failure_domain());
+    const auto added = node_->AddLearner(member, kJoinTimeout);
+    log_.Info(LogLine("join")
+                  .Add("member", member.id())
+                  .Add("address", member.rpc_address())
+                  .Add("added", added.ok())
+                  .Add("problem", added.ok() ? std::string_view() : added.error())
+                  .text());
+    if (!added.ok()) return response;
+    known = common::MemberId(member.id());
+    response.set_member_id(member.id());
+    return response;
+  }
+
+  [[nodiscard]] schema::GroupResponse DescribeGroup() const {
+    schema::GroupResponse response;
+    const auto confirmation = node_->confirmation();
+    response.set_confirmed(confirmation &&
+                           common::TimerService::Now() - confirmation->confirmed_at <
+                               kGroupConfirmation);
+    const schema::Membership membership = node_->status().membership;
+    for (const schema::Member& member : membership.members()) {
+      response.add_member_ids(member.id());
+    }
+    return response;
+  }
+
+  /// Repairs the group at its leader, one change at a time.
+  void RepairGroup(const NodeStatus& status) {
+    if (!forms_itself()) return;
+    const common::Time now = common::TimerService::Now();
+    const auto change = planner_.Next(status.membership, status.id, status.contacts,
+                                      status.commit_index, leading_since_, now);
+    if (!change) return;
+    const auto changed = node_->ChangeMembership(*change, kRepairTimeout);
+    log_.Info(LogLine("membership_change")
+                  .Add("change", Describe(*change))
+                  .Add("committed", changed.ok())
+                  .Add("problem", changed.ok() ? std::string_view() : changed.error())
+                  .Add("term", status.term.value())
+                  .text());
+  }
+
+  static std::string Describe(const consensus::MembershipChange& change) {
+    if (const auto* promote = std::get_if<consensus::PromoteLearner>(&change)) {
+      return "promote:" + std::to_string(promote->id.value());
+    }
+    if (const auto* remove = std::get_if<consensus::RemoveMember>(&change)) {
+      return "remove:" + std::to_string(remove->id.value());
+    }
+    return "add";
+  }
+
+  /// A member that hears of no leader asks whether the group has removed it.
+  void CheckRemoval() {
+    if (!forms_itself() || removed_) return;
+    const auto confirmation = node_->confirmation();
+    const common::Time now = common::TimerService::Now();
+    const common::Time since = confirmation ? confirmation->confirmed_at : started_at_;
+    if (now - since < kLonely) return;
+    std::vector<std::string> addresses = MemberAddresses();
+    for (const std::string& seed : seeds()) addresses.push_back(seed);
+    const std::string own = rpc::AdvertisedAddress(options_.settings.node(), rpc_port_);
+    for (const std::string& address : addresses) {
+      if (address == own || address.empty()) continue;
+      try {
+        const auto group = ClientTo(address).Call<schema::GroupResponse>(
+            "Group", schema::GroupRequest(), kGroupTimeout);
+        const auto& ids = group.member_ids();
+        if (!group.confirmed() || std::find(ids.begin(), ids.end(), id_.value()) != ids.end()) {
+          continue;
+        }
+      } catch (const rpc::RpcError&) {
+        continue;  // a member that does not answer says nothing about the group
+      }
+      removed_ = true;
+      log_.Warn(LogLine("removed_from_group").Add("member", id_.value()).Add("by", address).text());
+      if (options_.on_failure) options_.on_failure("the group has removed this member");
+      return;
+    }
+  }
+
+  /// Reads the platform's list for the entries that sync with this member.
+  void RunBackendList() {
+    bool lost = false;
+    while (!WaitForStop(kListPeriod)) {
+      const common::Time asked_at = common::TimerService::Now();
+      auto list = options_.read_backends();
+      if (list.ok() == lost) {
+        lost = !list.ok();
+        log_.Info(LogLine(lost ? "platform_list_lost" : "platform_list_regained")
+                      .Add("problem", lost ? list.error() : std::string())
+                      .text());
+      }
+      if (!list.ok()) continue;
+      bool changed = false;
+      {
+        const std::lock_guard lock(backends_mutex_);
+        changed = !backends_read_at_ || backends_.digest() != list.value().digest();
+        backends_ = std::move(list).value();
+        backends_read_at_ = asked_at;
+      }
+      if (!changed) continue;
+      log_.Info(LogLine("backend_list")
+                    .Add("backends", backends_.backends_size())
+                    .Add("digest", backends_.digest())
+                    .text());
+    }
+  }
+
   [[nodiscard]] distribution::Confirmation CurrentConfirmation() const {
     const auto confirmation = node_->confirmation();
     if (!confirmation) return {};
@@ -243,17 +495,21 @@
         "MemberReport", [this](const schema::MemberReport& report) {
           return fleet_.HandleReport(report, common::TimerService::Now());
         });
+    if (!forms_itself()) return;
+    rpc_server_.Handle<schema::JoinRequest, schema::JoinResponse>(
+        "Join", [this](const schema::JoinRequest& request) { return TakeIn(request); });
+    rpc_server_.Handle<schema::GroupRequest, schema::GroupResponse>(
+        "Group", [this](const schema::GroupRequest&) { return DescribeGroup(); });
   }
 
   std::string StartHttp() {
     const schema::ControlSettings& settings = options_.settings;
-    auto admin = AdminApi::Start({.listen = settings.admin_listen(),
-                                  .certificate_file = settings.admin_tls().certificate_file(),
-                                  .private_key_file = settings.admin_tls().private_key_file(),
-                                  .operators_file = settings.operators_file()},
-                                 *this);
-    if (!admin.ok()) return admin.error();
-    admin_ = std::move(admin).value();
+    if (options_.start_api) {
+      auto api = options_.start_api(*this);
+      if (!api.ok()) return api.error();
+      api_ = std::move(api).value();
+    }
+    if (std::string problem = StartAdmin(); !problem.empty()) return problem;
     metrics_.AddGauge("briarwood_index", "Log index applied by this member",
                       [this] { return static_cast<double>(node_->applied_index().value()); });
     metrics_.AddGauge("briarwood_leader", "1 while this member leads",
@@ -266,6 +522,19 @@
     return {};
   }
 
+  std::string StartAdmin() {
+    const schema::ControlSettings& settings = options_.settings;
+    if (settings.admin_listen().empty()) return {};
+    auto admin = AdminApi::Start({.listen = settings.admin_listen(),
+                                  .certificate_file = settings.admin_tls().certificate_file(),
+                                  .private_key_file = settings.admin_tls().private_key_file(),
+                                  .operators_file = settings.operators_file()},
+                                 *this);
+    if (!admin.ok()) return admin.error();
+    admin_ = std::move(admin).value();
+    return {};
+  }
+
   [[nodiscard]] bool Ready() const {
     const auto confirmation = node_->confirmation();
     return !stopping_ready_ && confirmation &&
@@ -287,25 +556,32 @@
   }
 
   void MakeDuties() {
-    PlatformPort platform;
+    PlatformPort platform = options_.platform.value_or(PlatformPort{});
     const std::string& url = options_.settings.platform_url();
-    if (!url.empty()) platform = MakeHttpPlatform(url);
+    if (!options_.platform && !url.empty()) platform = MakeHttpPlatform(url);
     duties_.emplace(
-        DutyContext{
-            .propose =
-                [this](const schema::Command& command) {
-                  return node_->Propose(command, kProposeTimeout);
-                },
-            .may_send = [this] { return node_->MaySendOrders(common::TimerService::Now()); },
-            .fence = [this] { return node_->status().term; },
-            .read_state = [this](const auto& read) { ReadState(read); },
-            .wall_clock = &WallClock,
-            .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); }},
+        DutyContext{.propose =
+                        [this](const schema::Command& command) {
+                          return node_->Propose(command, kProposeTimeout);
+                        },
+                    .may_send = [this] { return MaySend(); },
+                    .fence = [this] { return node_->status().term; },
+                    .read_state = [this](const auto& read) { ReadState(read); },
+                    .wall_clock = [this] { return AgreedWallClock(); },
+                    .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); },
+                    .report_pause = kReportPause},
         std::move(platform));
   }
 
+  [[nodiscard]] bool MaySend() const {
+    const common::Time now = common::TimerService::Now();
+    const milliseconds wait(options_.settings.platform().holder_change_ms());
+    return now - leading_since_ >= wait && node_->MaySendOrders(now);
+  }
+
   void RunDuties() {
     while (!WaitForStop(kDutyPeriod)) {
+      ObserveClock(options_.settings.node().id(), WallClock());
       FollowLeadership();
       duties_->Run();
     }
@@ -321,8 +597,10 @@
     }
     const bool new_term = std::exchange(led_term_, status.term) != status.term;
     if (new_term) {
-      fleet_.BecomeLeader(common::TimerService::Now());
+      leading_since_ = common::TimerService::Now();
+      fleet_.BecomeLeader(leading_since_);
     }
+    RepairGroup(status);
     std::vector<schema::Customer> customers;
     const common::LogIndex changed =
         node_->WithState([](const ControlState& state) { return state.table().last_change(); });
@@ -335,22 +613,31 @@
   }
 
   void RunReports() {
-    while (!WaitForStop(kReportPeriod)) ReportToLeader();
+    while (!WaitForStop(kReportPeriod)) {
+      ReportToLeader();
+      CheckRemoval();
+    }
   }
 
   void ReportToLeader() {
     const NodeStatus status = node_->status();
     if (status.role == consensus::Role::kLeader || status.leader_rpc.empty()) return;
     const common::Time sent_at = common::TimerService::Now();
-    const schema::MemberReport report =
-        fleet_.MakeReport(common::MemberId(options_.settings.member_id()), sent_at);
+    const schema::MemberReport report = fleet_.MakeReport(id_, sent_at);
     try {
       const auto response =
           ClientTo(status.leader_rpc)
               .Call<schema::MemberReportResponse>("MemberReport", report, kReportTimeout);
       fleet_.HandleReportResponse(response, sent_at, common::TimerService::Now());
+      if (!std::exchange(leader_lost_, false)) return;
+      log_.Info(LogLine("leader_regained").Add("leader", status.leader_rpc).text());
     } catch (const rpc::RpcError& error) {
-      log_.Warn("Report to the leader failed: " + std::string(error.what()) + ".");
+      // One line for each loss: a leader that is away is asked once a second.
+      if (std::exchange(leader_lost_, true)) return;
+      log_.Warn(LogLine("leader_lost")
+                    .Add("leader", status.leader_rpc)
+                    .Add("problem", error.what())
+                    .text());
     }
   }
 
@@ -377,14 +664,46 @@
     }
     stop_changed_.notify_all();
     for (std::thread& thread : threads_) thread.join();
+    api_.reset();
     admin_.reset();
     status_server_.reset();
     if (node_) node_->Stop();
     rpc_server_.Stop();
+    if (removed_) ForgetMembership();
+  }
+
+  /// Empties the folder, so that the process joins as a new member when it starts again.
+  void ForgetMembership() {
+    node_.reset();
+    try {
+      EraseMember(files_, options_.settings.data_folder());
+    } catch (const storage::StorageError& error) {
+      log_.Error(LogLine("erase_failed").Add("problem", error.what()).text());
+    }
   }
 
   ControlDaemonOptions options_;
   observability::Logger log_{"control"};
+  storage::Files files_{storage::PosixFiles()};
+  common::MemberId id_;
+  std::vector<schema::ControlPeer> peers_;
+  bool join_ = false;
+  MembershipPlanner planner_{PlannerOptions(options_.settings)};
+  mutable std::mutex seeds_mutex_;
+  std::vector<std::string> seeds_{options_.settings.seeds().begin(),
+                                  options_.settings.seeds().end()};
+  mutable std::mutex clock_mutex_;
+  AgreedClock agreed_clock_;
+  std::mutex backends_mutex_;
+  schema::BackendList backends_;
+  std::optional<common::Time> backends_read_at_;
+  /// Ids given to processes that joined, by incarnation.
+  std::mutex join_mutex_;
+  std::map<std::uint64_t, common::MemberId> joined_;
+  common::Time started_at_ = common::TimerService::Now();
+  common::Time leading_since_;
+  std::atomic<bool> removed_ = false;
+  bool leader_lost_ = false;
   observability::Metrics metrics_{observability::MetricsOptions{}};
   common::TimerService timers_;
   FleetView fleet_;
@@ -392,6 +711,7 @@
   rpc::Server rpc_server_;
   std::uint16_t rpc_port_ = 0;
   std::unique_ptr<ControlNode> node_;
+  std::shared_ptr<void> api_;
   std::unique_ptr<AdminApi> admin_;
   std::unique_ptr<observability::StatusServer> status_server_;
   std::optional<LeaderDuties> duties_;
@@ -426,6 +746,8 @@
 
 bool ControlDaemon::Leads() const { return impl_->Leads(); }
 
+void ControlDaemon::SetSeeds(const std::vector<std::string>& seeds) { impl_->SetSeeds(seeds); }
+
 bool ControlDaemon::Drain(std::chrono::milliseconds limit) { return impl_->Drain(limit); }
 
 }  // namespace briarwood::control
--- a/src/control/documents.cc
+++ b/src/control/documents.cc
@@ -106,6 +106,19 @@
   if (command.document().empty()) {
     return refuse(schema::RESULT_CODE_INVALID, "document has no name");
   }
+  if (parser_.rule == ApplyRule::kHighestVersion) {
+    Evaluation evaluation = Evaluate(command.document(), command.content(), extra_check);
+    if (!evaluation.problems.empty()) {
+      return refuse(schema::RESULT_CODE_INVALID, impl::JoinLines(evaluation.problems));
+    }
+    if (command.version() <= current) {
+      schema::CommandResult result = impl::Ok(index);
+      result.set_current_version(current);
+      return {.result = std::move(result)};
+    }
+    Accept(command, digest, index, std::move(evaluation));
+    return {.result = accepted(index), .accepted = true};
+  }
   const auto document = documents_.find(command.document());
   if (document != documents_.end()) {
     const schema::AppliedVersion* former = FindVersion(document->second, command.version());
--- a/src/control/impl/configuration_rows.h
+++ b/src/control/impl/configuration_rows.h
@@ -12,8 +12,9 @@
 /// Value of each published configuration row by (kind, id).
 using ConfigurationRows = std::map<std::pair<schema::RowKind, std::string>, std::string>;
 
-/// \returns the rows of a merged configuration. The two singletons have the ids "capacity" and
-/// "usage"; routes are known by their path, everything else by its id.
+/// \returns the rows of a merged configuration. The singletons have the ids "capacity", "usage" and
+/// "caller_limits"; routes are known by their path, forwarded ones by host and prefix,
+/// everything else by its id.
 [[nodiscard]] ConfigurationRows RowsOf(const schema::Configuration& merged);
 
 /// Kinds that RowsOf produces.
--- a/src/control/impl/raft_loop.cc
+++ b/src/control/impl/raft_loop.cc
@@ -206,6 +206,15 @@
   next.leader_rpc = AddressOf(raft_.leader().value());
   next.commit_index = raft_.commit_index();
   next.membership = raft_.membership();
+  if (next.role == consensus::Role::kLeader) {
+    for (const schema::Member& member : next.membership.members()) {
+      const common::MemberId id(member.id());
+      if (id == raft_.id()) continue;
+      next.contacts.push_back({.id = id,
+                               .match = raft_.MatchOf(id).value_or(common::LogIndex()),
+                               .last_ack = raft_.LastAckOf(id)});
+    }
+  }
   next.lease_end = raft_.lease_end();
   next.orders_from = raft_.orders_from();
   next.own_term_start = raft_.own_term_start();
--- a/src/control/impl/raft_loop.h
+++ b/src/control/impl/raft_loop.h
@@ -32,6 +32,8 @@
   std::string leader_rpc;
   common::LogIndex commit_index;
   schema::Membership membership;
+  /// At the leader: what it knows of the other members.
+  std::vector<MemberContact> contacts;
   std::optional<common::Time> lease_end;
   std::optional<common::Time> orders_from;
   /// First index of the own term; meaningful while orders_from is set.
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -53,13 +53,20 @@
 }
 
 void LeaderDuties::SendReports() {
+  if (common::BootClock::now() < report_pause_until_) return;
   std::vector<schema::UsageWindow> windows;
   context_.read_state([&](const ControlState& state) { windows = state.usage().Unreported(); });
   for (const schema::UsageWindow& window : windows) {
     const common::Term fence = context_.fence();
-    if (!context_.may_send()) return;
-    const std::optional<std::string> receipt = platform_.send_report(window, fence);
-    if (!receipt) return;
+    if (!context_.may_send() || fence == fenced_term_) return;
+    const ReportAnswer answer = platform_.send_report(window, fence);
+    // A holder that another one has overtaken sends nothing more under its fence.
+    if (answer.fenced) fenced_term_ = fence;
+    const std::optional<std::string>& receipt = answer.receipt;
+    if (!receipt) {
+      report_pause_until_ = common::BootClock::now() + context_.report_pause;
+      return;
+    }
     schema::Command command;
     command.mutable_record_receipt()->set_window_id(window.id());
     command.mutable_record_receipt()->set_receipt(*receipt);
--- a/src/control/replicated_node.cc
+++ b/src/control/replicated_node.cc
@@ -42,6 +42,7 @@
   common::Result<common::LogIndex> ChangeMembership(const consensus::MembershipChange& change,
                                                     milliseconds timeout);
   bool TransferLeadership(common::MemberId target, milliseconds timeout);
+  bool ConfirmRead(milliseconds timeout);
   std::optional<Confirmation> confirmation() const;
   std::optional<common::Term> OrderFence(Time now) const;
   NodeStatus status() const;
@@ -319,6 +320,12 @@
                                                                : ReadAtLeader(timeout);
 }
 
+bool ReplicatedNode::Impl::ConfirmRead(milliseconds timeout) {
+  const Time deadline = TimerService::Now() + timeout;
+  const std::optional<ReadPoint> point = ReadAnywhere(timeout);
+  return point && applier_->WaitApplied(point->index, deadline);
+}
+
 void ReplicatedNode::Impl::ConfirmOnce() {
   const Time asked_at = TimerService::Now();
   const std::optional<ReadPoint> point = ReadAnywhere(kConfirmTimeout);
@@ -368,6 +375,7 @@
     status.leader_rpc = std::move(state.leader_rpc);
     status.commit_index = state.commit_index;
     status.membership = std::move(state.membership);
+    status.contacts = std::move(state.contacts);
   }
   const std::lock_guard lock(mutex_);
   status.failure = failure_;
@@ -404,6 +412,8 @@
   return impl_->TransferLeadership(target, timeout);
 }
 
+bool ReplicatedNode::ConfirmRead(Milliseconds timeout) { return impl_->ConfirmRead(timeout); }
+
 std::optional<Confirmation> ReplicatedNode::confirmation() const { return impl_->confirmation(); }
 
 std::optional<common::Term> ReplicatedNode::OrderFence(Time now) const {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -27,9 +27,15 @@
   return signals;
 }
 
+sigset_t AllSignals() {
+  sigset_t signals = StopSignals();
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
 // Threads inherit the mask, so this runs before any is started.
 void PrepareSignals() {
-  const sigset_t signals = StopSignals();
+  const sigset_t signals = AllSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -124,6 +130,19 @@
   }
 }
 
+std::optional<ProcessSignal> WaitForSignal(std::chrono::milliseconds limit) {
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  constexpr std::int64_t kNanosPerMilli = 1'000'000;
+  const sigset_t signals = AllSignals();
+  timespec wait{};
+  wait.tv_sec = limit.count() / kMillisPerSecond;
+  wait.tv_nsec = limit.count() % kMillisPerSecond * kNanosPerMilli;
+  const int signal = sigtimedwait(&signals, nullptr, &wait);
+  if (signal == SIGHUP) return ProcessSignal::kReload;
+  if (signal == SIGTERM || signal == SIGINT) return ProcessSignal::kStop;
+  return std::nullopt;
+}
+
 void RequireProtectedListener(const schema::NodeSettings& node, const std::string& listen,
                               bool has_certificate) {
   if (has_certificate || node.allow_plain_text() || listen.empty() || listen.starts_with("127.")) {
--- /dev/null
+++ b/src/distribution/backend_list.cc
@@ -0,0 +1,18 @@
+#include "briarwood/distribution/backend_list.h"
+
+#include "briarwood/common/digest.h"
+
+namespace briarwood::distribution {
+
+void SetDigest(schema::BackendList& list) {
+  // Starts above zero, which stands for no list.
+  std::uint64_t digest = 1;
+  for (const schema::ListedBackend& backend : list.backends()) {
+    schema::ListedBackend stable = backend;
+    stable.clear_warm_up_ms();
+    digest += common::Hash64(stable.SerializeAsString());
+  }
+  list.set_digest(digest);
+}
+
+}  // namespace briarwood::distribution
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -139,6 +139,20 @@
 
 std::vector<schema::Vm> Replica::Vms() const { return ReadAll<schema::Vm>(schema::ROW_KIND_VM); }
 
+std::vector<schema::ForwardRoute> Replica::ForwardRoutes() const {
+  return ReadAll<schema::ForwardRoute>(schema::ROW_KIND_FORWARD_ROUTE);
+}
+
+std::vector<schema::Service> Replica::Services() const {
+  return ReadAll<schema::Service>(schema::ROW_KIND_SERVICE);
+}
+
+std::optional<schema::CallerLimits> Replica::CallerLimits() const {
+  const auto limits = ReadAll<schema::CallerLimits>(schema::ROW_KIND_CALLER_LIMITS);
+  if (limits.empty()) return std::nullopt;
+  return limits.front();
+}
+
 std::vector<common::BackendServerId> Replica::Draining() const {
   std::vector<common::BackendServerId> ids;
   const std::shared_lock lock(mutex_);
--- a/src/distribution/sync_client.cc
+++ b/src/distribution/sync_client.cc
@@ -110,7 +110,7 @@
   if (callbacks_.fill) callbacks_.fill(request);
   replica_.filter().ToRequest(request);
   request.set_since_index(replica_.index().value());
-  const common::Time sent_at = std::chrono::steady_clock::now();
+  const common::Time sent_at = common::BootClock::now();
   schema::SyncResponse response;
   try {
     response = parent.Call<schema::SyncResponse>("Sync", request, options_.timeout);
--- a/src/distribution/sync_server.cc
+++ b/src/distribution/sync_server.cc
@@ -46,7 +46,7 @@
 void SyncServer::Register(rpc::Server& server) {
   server.Handle<schema::SyncRequest, schema::SyncResponse>(
       "Sync", [this](const schema::SyncRequest& request) {
-        const common::Time now = std::chrono::steady_clock::now();
+        const common::Time now = common::BootClock::now();
         RememberChild(request, now);
         schema::SyncResponse response = Answer(request, now);
         SetChildIndex(request.node().rpc_address(), common::LogIndex(response.index()));
@@ -122,7 +122,7 @@
 void SyncServer::RunNotifier() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const auto next = NextChild(std::chrono::steady_clock::now());
+    const auto next = NextChild(common::BootClock::now());
     if (next == children_.end()) {
       changed_.wait(lock);
       continue;
--- a/src/emulator/delay_queue.cc
+++ b/src/emulator/delay_queue.cc
@@ -18,7 +18,7 @@
 void DelayQueue::RunAfter(common::Duration delay, std::function<void()> task) {
   {
     const std::lock_guard lock(mutex_);
-    tasks_.emplace(std::chrono::steady_clock::now() + delay, std::move(task));
+    tasks_.emplace(common::BootClock::now() + delay, std::move(task));
   }
   changed_.notify_all();
 }
@@ -28,7 +28,7 @@
   while (!stopping_) {
     if (tasks_.empty()) {
       changed_.wait(lock);
-    } else if (tasks_.begin()->first > std::chrono::steady_clock::now()) {
+    } else if (tasks_.begin()->first > common::BootClock::now()) {
       // The deadline is copied, as the map may change during the wait.
       const common::Time due = tasks_.begin()->first;
       changed_.wait_until(lock, due);
--- a/src/emulator/model_engine.cc
+++ b/src/emulator/model_engine.cc
@@ -399,7 +399,7 @@
     }
   }
 
-  [[nodiscard]] static common::Time Now() { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] static common::Time Now() { return common::BootClock::now(); }
 
   ModelEngineOptions options_;
   impl::RestartableServer server_;
--- a/src/emulator/platform.cc
+++ b/src/emulator/platform.cc
@@ -285,7 +285,7 @@
     return Summary();
   }
 
-  [[nodiscard]] static common::Time Now() { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] static common::Time Now() { return common::BootClock::now(); }
 
   PlatformOptions options_;
   mutable std::mutex mutex_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -99,7 +99,7 @@
 
 void Dispatcher::ReplaceSchedulers() {
   schedulers_.clear();
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   for (auto& [id, known] : known_) {
     // A running request moves when it is queued again.
     if (!known.scheduler->Cancel(id)) continue;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -131,7 +131,7 @@
   }
   RequestPlan plan;
   plan.sequence = next_sequence_++;
-  plan.arrived = std::chrono::steady_clock::now();
+  plan.arrived = common::BootClock::now();
   plan.id = common::RequestId("req-" + std::to_string(options_.incarnation.value()) + "-" +
                               std::to_string(plan.sequence));
   if (stopping_) {
@@ -176,7 +176,7 @@
   using CallerResult = Checked<Caller>;
   const auto key = requests::TakeKey(request);
   if (!key.ok()) return CallerResult::Failure(key.error());
-  if (!KeysAreFresh(std::chrono::steady_clock::now())) {
+  if (!KeysAreFresh(common::BootClock::now())) {
     return CallerResult::Failure(
         MakeError(CallerErrorCode::kKeysStale, "the key table is too old to be trusted"));
   }
@@ -350,7 +350,7 @@
 }
 
 std::optional<CallerError> EntryCore::Admit(const RequestPlan& plan) {
-  const common::Time now = std::chrono::steady_clock::now();
+  const common::Time now = common::BootClock::now();
   const routing::LimitDecision decision =
       options_.dispatcher->TryAdmit(plan.customer, plan.estimated_tokens, now);
   if (decision.verdict != routing::LimitVerdict::kAdmitted) {
@@ -438,9 +438,7 @@
   used_agents_.insert(rpc_address);
 }
 
-bool EntryCore::Ready() const {
-  return !stopping_ && KeysAreFresh(std::chrono::steady_clock::now());
-}
+bool EntryCore::Ready() const { return !stopping_ && KeysAreFresh(common::BootClock::now()); }
 
 bool EntryCore::KeysAreFresh(common::Time now) const {
   const std::optional<common::Time> freshness = options_.replica->freshness();
@@ -461,13 +459,13 @@
 
 void EntryCore::Pump() {
   pump_requested_ = false;
-  const DispatchRound round = options_.dispatcher->Next(std::chrono::steady_clock::now());
+  const DispatchRound round = options_.dispatcher->Next(common::BootClock::now());
   for (const PlacedRequest& placed : round.placed) {
     if (const auto request = requests_.Find(placed.id)) {
       request->OnPlaced(placed);
     } else {
       options_.dispatcher->EndAttempt(placed.id, AttemptOutcome::kNoVerdict,
-                                      std::chrono::steady_clock::now());
+                                      common::BootClock::now());
       options_.dispatcher->Finish(placed.id);
     }
   }
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -123,13 +123,13 @@
 
   bool Drain(std::chrono::milliseconds limit) {
     core_->SetStopping();
-    const common::Time end = std::chrono::steady_clock::now() + limit;
+    const common::Time end = common::BootClock::now() + limit;
     while (core_->in_flight() != 0) {
-      if (std::chrono::steady_clock::now() >= end) return false;
+      if (common::BootClock::now() >= end) return false;
       std::this_thread::sleep_for(kDrainPoll);
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        end - std::chrono::steady_clock::now());
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(end - common::BootClock::now());
     if (!http_server_->WaitIdle(std::max(left, kDrainPoll))) return false;
     // The agents hold the same records and report them if this fails.
     if (!usage_->Flush(kUsageFlushLimit)) log_.Warn("Usage records are left to the agents.");
@@ -180,7 +180,7 @@
                        [this] {
                          const auto freshness = replica_->freshness();
                          if (!freshness) return -1.0;
-                         return common::ToSeconds(std::chrono::steady_clock::now() - *freshness);
+                         return common::ToSeconds(common::BootClock::now() - *freshness);
                        });
   }
 
@@ -197,7 +197,7 @@
   [[nodiscard]] distribution::SyncSource MakeSource() {
     distribution::SyncSource source = distribution::SourceOf(*replica_);
     source.on_request = [this](const schema::SyncRequest& request) {
-      const common::Time now = std::chrono::steady_clock::now();
+      const common::Time now = common::BootClock::now();
       for (const schema::Heartbeat& heartbeat : request.heartbeats()) {
         if (heartbeat.has_load()) dispatcher_->ReportFromTree(heartbeat.load(), now);
         agents_.Add(heartbeat, now);
@@ -215,7 +215,7 @@
     node.set_failure_domain(settings.failure_domain());
     node.set_rpc_address(rpc::AdvertisedAddress(settings, rpc_port_));
     request.set_ready(core_->Ready());
-    const common::Time now = std::chrono::steady_clock::now();
+    const common::Time now = common::BootClock::now();
     schema::Heartbeat& own = *request.add_heartbeats();
     *own.mutable_node() = node;
     own.set_index(replica_->index().value());
@@ -229,7 +229,7 @@
   }
 
   void OnResponse(const schema::SyncResponse& response, common::Time sent_at) {
-    const common::Time now = std::chrono::steady_clock::now();
+    const common::Time now = common::BootClock::now();
     dispatcher_->OnSync(now);
     for (const schema::LoadReport& load : response.loads()) dispatcher_->ReportFromTree(load, now);
     if (response.entry_count() != 0) dispatcher_->SetEntryCount(response.entry_count());
--- a/src/entry/live_request.cc
+++ b/src/entry/live_request.cc
@@ -24,7 +24,7 @@
 // A caller that reads more slowly than the engine writes is cut off here.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{4} * 1024 * 1024;
 
-common::Time Now() { return std::chrono::steady_clock::now(); }
+common::Time Now() { return common::BootClock::now(); }
 
 common::UnixMillis WallNow() {
   return common::UnixMillis(static_cast<std::int64_t>(proposals::WallClockMillis()));
--- /dev/null
+++ b/src/forwarding/backend_pool.cc
@@ -0,0 +1,103 @@
+#include "forwarding/impl/backend_pool.h"
+
+#include <algorithm>
+
+namespace briarwood::forwarding::impl {
+
+void BackendPool::Set(const common::BackendServerId& id, const http::Endpoint& address,
+                      std::uint32_t most) {
+  Server& server = servers_[id];
+  server.most = most;
+  server.removed = false;
+  if (server.address == address) return;
+  server.address = address;
+  for (const auto& connection : server.idle) {
+    connection->Close();
+    --open_;
+  }
+  server.idle.clear();
+}
+
+void BackendPool::Remove(const common::BackendServerId& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  found->second.removed = true;
+  for (const auto& connection : found->second.idle) {
+    connection->Close();
+    --open_;
+  }
+  found->second.idle.clear();
+  EraseIfUnused(id);
+}
+
+std::shared_ptr<http::OutgoingConnection> BackendPool::Take(const common::BackendServerId& id,
+                                                            common::Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.removed) return nullptr;
+  Server& server = found->second;
+  while (!server.idle.empty()) {
+    auto connection = std::move(server.idle.back());
+    server.idle.pop_back();
+    if (connection->reusable() && now < connection->usable_until()) {
+      ++server.in_use;
+      return connection;
+    }
+    connection->Close();
+    --open_;
+  }
+  if (server.most != 0 && server.in_use >= server.most) return nullptr;
+  ++server.in_use;
+  ++open_;
+  ++opened_;
+  return http::OutgoingConnection::Create(loop_, server.address);
+}
+
+void BackendPool::Return(const common::BackendServerId& id,
+                         const std::shared_ptr<http::OutgoingConnection>& connection,
+                         common::Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  if (server.in_use > 0) --server.in_use;
+  if (!connection->reusable() || server.removed || now >= connection->usable_until()) {
+    connection->Close();
+    --open_;
+    EraseIfUnused(id);
+    return;
+  }
+  server.idle.push_back(connection);
+  connection->OnIdleClosed([this, id, weak = std::weak_ptr<http::OutgoingConnection>(connection)] {
+    if (const auto closed = weak.lock()) Drop(id, closed);
+  });
+}
+
+void BackendPool::Drop(const common::BackendServerId& id,
+                       const std::shared_ptr<http::OutgoingConnection>& connection) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  auto& idle = found->second.idle;
+  const auto position = std::find(idle.begin(), idle.end(), connection);
+  if (position == idle.end()) return;
+  connection->Close();
+  idle.erase(position);
+  --open_;
+}
+
+void BackendPool::CloseExpired(common::Time now) {
+  for (auto& [id, server] : servers_) {
+    std::erase_if(server.idle, [&](const auto& connection) {
+      if (connection->reusable() && now < connection->usable_until()) return false;
+      connection->Close();
+      --open_;
+      return true;
+    });
+  }
+}
+
+void BackendPool::EraseIfUnused(const common::BackendServerId& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  if (found->second.removed && found->second.in_use == 0) servers_.erase(found);
+}
+
+}  // namespace briarwood::forwarding::impl
--- /dev/null
+++ b/src/forwarding/event_splitter.cc
@@ -0,0 +1,62 @@
+#include "briarwood/forwarding/event_splitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace briarwood::forwarding {
+namespace {
+
+std::optional<std::uint64_t> ReadId(std::string_view event) {
+  std::optional<std::uint64_t> id;
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    constexpr std::string_view kField = "id:";
+    if (!line.starts_with(kField)) continue;
+    line.remove_prefix(kField.size());
+    if (line.starts_with(' ')) line.remove_prefix(1);
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+    if (parsed.ec == std::errc() && parsed.ptr == line.data() + line.size()) id = value;
+  }
+  return id;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Feed(std::string_view data) {
+  rest_ += data;
+  std::vector<StreamEvent> events;
+  std::size_t start = 0;
+  std::size_t position = scanned_;
+  // Looks for an empty line: a line feed followed by another one, with or without carriage returns.
+  while (position < rest_.size()) {
+    const std::size_t feed = rest_.find('\n', position);
+    if (feed == std::string::npos) break;
+    std::size_t next = feed + 1;
+    if (next < rest_.size() && rest_[next] == '\r') ++next;
+    if (next >= rest_.size()) {
+      position = feed;
+      break;
+    }
+    if (rest_[next] != '\n') {
+      position = next;
+      continue;
+    }
+    StreamEvent event{.text = rest_.substr(start, next + 1 - start), .id = std::nullopt};
+    event.id = ReadId(event.text);
+    events.push_back(std::move(event));
+    start = next + 1;
+    position = start;
+  }
+  rest_.erase(0, start);
+  scanned_ = std::min(position >= start ? position - start : 0, rest_.size());
+  // A line feed at the end has to be looked at again together with what follows.
+  const std::size_t feed = rest_.find('\n', scanned_);
+  if (feed == std::string::npos) scanned_ = rest_.size();
+  return events;
+}
+
+}  // namespace briarwood::forwarding
--- /dev/null
+++ b/src/forwarding/exchange.cc
@@ -0,0 +1,552 @@
+#include "forwarding/impl/exchange.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "briarwood/common/digest.h"
+#include "briarwood/http/message.h"
+#include "briarwood/observability/log_line.h"
+
+namespace briarwood::forwarding::impl {
+
+using observability::LogLine;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longest wait for a new connection. A connection inside a region takes a few milliseconds; the
+/// kernel repeats a lost opening packet only after a second, so another try is sooner.
+constexpr milliseconds kConnectLimit{400};
+/// A backend server answers by itself at the deadline that it was given; its answer is awaited for
+/// this long.
+constexpr milliseconds kDeadlineSlack{150};
+/// Part of a request's time that it may wait in the queue when its target is shorter.
+constexpr double kQueueShare = 0.35;
+/// Sends of one request, those included that were refused without being run.
+constexpr std::uint32_t kMostSends = 4;
+/// Time that must be left for another backend server.
+constexpr milliseconds kLeastTimeLeft{20};
+/// Reading from the backend server pauses while the caller has this much to take.
+constexpr std::size_t kMostBuffered = std::size_t{256} * 1024;
+constexpr std::size_t kMostBodyBytes = std::size_t{16} * 1024 * 1024;
+/// Callers that are refused come back after this; longer when the queue is long.
+constexpr milliseconds kRetryPause{300};
+constexpr milliseconds kRetryPauseWithoutConfiguration{500};
+
+constexpr std::uint16_t kUnauthorized = 401;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kMisdirected = 421;
+constexpr std::uint16_t kBadGateway = 502;
+constexpr std::uint16_t kUnavailable = 503;
+constexpr std::uint16_t kGatewayTimeout = 504;
+
+bool IsSuccess(std::uint16_t status) { return status >= 200 && status < 300; }
+bool IsServerError(std::uint16_t status) { return status >= 500; }
+
+std::int64_t Millis(common::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+std::string_view NameOf(routing::DropReason reason) {
+  switch (reason) {
+    case routing::DropReason::kQueueFull:
+      return "queue_full";
+    case routing::DropReason::kFirstTokenLate:
+      return "target_missed_in_queue";
+    case routing::DropReason::kDeadline:
+      return "no_backend_in_time";
+  }
+  return "unknown";
+}
+
+std::string_view NameOf(http::CallEnd end) {
+  switch (end) {
+    case http::CallEnd::kComplete:
+      return "complete";
+    case http::CallEnd::kNotSent:
+      return "not_sent";
+    case http::CallEnd::kNoResponse:
+      return "no_response";
+    case http::CallEnd::kCutShort:
+      return "cut_short";
+    case http::CallEnd::kInvalid:
+      return "invalid_response";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Exchange::Exchange(Forwarder& owner, std::uint64_t number,
+                   std::shared_ptr<http::IncomingRequest> request)
+    : owner_(owner), number_(number), request_(std::move(request)), table_(owner.table_) {}
+
+common::RequestId Exchange::id() const { return common::RequestId(std::to_string(number_)); }
+
+bool Exchange::repeatable() const {
+  return route_->kind() == schema::CALL_KIND_IDEMPOTENT ||
+         (route_->kind() == schema::CALL_KIND_STREAM && route_->resumable());
+}
+
+void Exchange::Start() {
+  facts_ = owner_.options_.codec.read_request(request_->head());
+  last_event_ = facts_.last_event;
+  const auto self = shared_from_this();
+  request_->OnGone([weak = weak_from_this()] {
+    if (const auto exchange = weak.lock()) exchange->OnGone();
+  });
+  if (Admit()) Queue();
+}
+
+bool Exchange::Admit() {
+  if (!table_ || !table_->known()) {
+    Answer(kUnavailable, "no_configuration", kRetryPauseWithoutConfiguration);
+    return false;
+  }
+  const std::string* host = request_->head().headers.Find("Host");
+  route_ = table_->Match(host == nullptr ? std::string_view() : *host, request_->head().path());
+  if (route_ == nullptr) {
+    Answer(kNotFound, "no_route");
+    return false;
+  }
+  tier_ = common::Tier(route_->tier());
+  const routing::KeyOwner* key_owner = facts_.key.empty() ? nullptr : table_->FindOwner(facts_.key);
+  if (key_owner != nullptr) {
+    customer_ = key_owner->customer;
+    tier_ = key_owner->tier.value_or(tier_);
+  } else if (table_->requires_keys() && !route_->open()) {
+    Answer(kUnauthorized, facts_.key.empty() ? "no_key" : "unknown_key");
+    return false;
+  }
+  milliseconds time_left(route_->timeout_ms());
+  if (facts_.time_left) time_left = std::min(time_left, *facts_.time_left);
+  deadline_ = request_->arrived_at() + time_left;
+  service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
+  owner_.repeats_.OnRequest(service_, request_->arrived_at());
+  return true;
+}
+
+routing::ClassPolicy Exchange::Policy() const {
+  routing::ClassPolicy policy;
+  policy.id = common::ClassId(
+      "t" + std::to_string(tier_.value()) + "/" + std::to_string(route_->kind()) + "/" +
+      std::to_string(route_->target_ms()) + "/" + std::to_string(route_->timeout_ms()));
+  policy.tier = tier_;
+  policy.first_token_target = milliseconds(route_->target_ms());
+  policy.deadline = milliseconds(route_->timeout_ms());
+  return policy;
+}
+
+void Exchange::Queue() {
+  routing::QueuedRequest queued;
+  const routing::ClassPolicy policy = Policy();
+  queued.id = id();
+  queued.class_id = policy.id;
+  queued.customer = customer_;
+  queued.capability.service = service_;
+  if (route_->prefix_affinity() && facts_.prompt_parts.size() > 1) {
+    // The last part belongs to the request alone; the one before it is the longest shared prefix.
+    queued.prefix_hash = common::Hash64(facts_.prompt_parts[facts_.prompt_parts.size() - 2].id);
+  }
+  queued.input_tokens = facts_.prompt_tokens;
+  queued.expected_output_tokens =
+      static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
+  const common::Time arrived = request_->arrived_at();
+  queued.first_token_deadline = arrived + milliseconds(route_->target_ms());
+  const auto share = common::FromSeconds(common::ToSeconds(deadline_ - arrived) * kQueueShare);
+  queued.deadline = std::min(
+      deadline_, arrived + std::max<common::Duration>(milliseconds(route_->target_ms()), share));
+  queued_at_ = common::BootClock::now();
+  in_scheduler_ = true;
+  owner_.Enqueue(service_, policy, std::move(queued), *this);
+}
+
+void Exchange::OnDropped(routing::DropReason reason) {
+  in_scheduler_ = false;
+  if (state_ == State::kEnded) return;
+  if (response_started_) {
+    Fail(kUnavailable, NameOf(reason));
+  } else if (reached_.empty()) {
+    Answer(kUnavailable, NameOf(reason), kRetryPause);
+  } else {
+    Fail(kBadGateway, NameOf(reason));
+  }
+}
+
+void Exchange::OnPlaced(const routing::Dispatch& dispatch) {
+  const common::Time now = common::BootClock::now();
+  if (queued_at_) queued_for_ += now - *queued_at_;
+  queued_at_.reset();
+  state_ = State::kRunning;
+  ++attempt_number_;
+  attempt_.emplace();
+  attempt_->backend_server = dispatch.choice.id;
+  attempt_->tier = dispatch.picked.tier;
+  attempt_->started_at = now;
+  attempt_->connection = owner_.pool_.Take(dispatch.choice.id, now);
+  if (attempt_->connection == nullptr) {
+    owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false);
+    owner_.placement_.OnFull(dispatch.choice.id, /*alone=*/false, now);
+    attempt_.reset();
+    state_ = State::kQueued;
+    queued_at_ = now;
+    owner_.StateOf(service_).scheduler.PutBack(id());
+    return;
+  }
+  Send();
+}
+
+void Exchange::Send() {
+  const common::Time now = common::BootClock::now();
+  ++sends_;
+  http::RequestHead head = request_->head();
+  const bool has_body = head.headers.Find("Content-Length") != nullptr ||
+                        head.headers.Find("Transfer-Encoding") != nullptr;
+  http::RemoveConnectionFields(head.headers);
+  const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - now);
+  owner_.options_.codec.prepare_request(head, {.backend_server = attempt_->backend_server,
+                                               .customer = customer_,
+                                               .time_left = std::max(left, milliseconds(1)),
+                                               .tier = tier_,
+                                               .last_event = last_event_});
+  const std::uint64_t attempt = attempt_number_;
+  const auto self = shared_from_this();
+  const auto current = [self, attempt] {
+    return self->attempt_ && self->attempt_number_ == attempt;
+  };
+  attempt_->connection->Send(http::SerializeRequest(head, request_->body()->size(), has_body),
+                             request_->body(),
+                             std::min(kConnectLimit, std::max(left, milliseconds(1))),
+                             {.on_head =
+                                  [self, current](const http::ResponseHead& response) {
+                                    return !current() || self->OnHead(response);
+                                  },
+                              .on_data =
+                                  [self, current](std::string_view data) {
+                                    if (current()) self->OnData(data);
+                                  },
+                              .on_end =
+                                  [self, current](http::CallEnd end) {
+                                    if (current()) self->OnEnd(end);
+                                  }});
+}
+
+bool Exchange::OnHead(const http::ResponseHead& head) {
+  ResponseFacts facts = owner_.options_.codec.read_response(head);
+  if (!facts.request_id.empty() && !facts_.id.empty() && facts.request_id != facts_.id) {
+    owner_.log_.Warn(LogLine("foreign_response")
+                         .Add("request", facts_.id)
+                         .Add("backend", attempt_->backend_server.value())
+                         .Add("answers", facts.request_id)
+                         .text());
+    owner_.metrics_.CountEvent("foreign_response");
+    return false;
+  }
+  attempt_->head = head;
+  attempt_->has_head = true;
+  if (facts.load) {
+    owner_.placement_.Report({.id = attempt_->backend_server,
+                              .taken_at = common::BootClock::now(),
+                              .running = facts.load->running + facts.load->waiting,
+                              .running_here = std::nullopt,
+                              .capacity = facts.load->slots},
+                             common::BootClock::now());
+  }
+  attempt_->facts = std::move(facts);
+  attempt_->streaming = route_->kind() == schema::CALL_KIND_STREAM && IsSuccess(head.status) &&
+                        attempt_->facts.has_receipt;
+  if (!attempt_->facts.not_executed && !attempt_->streaming) MarkBegan();
+  return true;
+}
+
+void Exchange::MarkBegan() {
+  if (attempt_->began) return;
+  attempt_->began = true;
+  if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
+  owner_.StateOf(service_).scheduler.ObserveFirstToken(
+      facts_.prompt_tokens, common::BootClock::now() - attempt_->started_at);
+  if (std::exchange(counted_, true)) return;
+  if (!customer_.value().empty()) owner_.options_.on_began(customer_);
+}
+
+void Exchange::OnData(std::string_view data) {
+  if (!attempt_->streaming) {
+    if (attempt_->body.size() + data.size() <= kMostBodyBytes) attempt_->body += data;
+    return;
+  }
+  const std::uint64_t attempt = attempt_number_;
+  for (const StreamEvent& event : attempt_->events.Feed(data)) {
+    OnEvent(event);
+    if (!attempt_ || attempt_number_ != attempt) return;
+  }
+  if (request_->buffered_bytes() > kMostBuffered) attempt_->connection->PauseReading(true);
+}
+
+void Exchange::OnEvent(const StreamEvent& event) {
+  if (event.id && last_event_) {
+    if (*event.id <= *last_event_) return;
+    if (*event.id != *last_event_ + 1) {
+      owner_.log_.Warn(LogLine("event_gap")
+                           .Add("request", facts_.id)
+                           .Add("backend", attempt_->backend_server.value())
+                           .Add("expected", *last_event_ + 1)
+                           .Add("found", *event.id)
+                           .text());
+      OnBrokenAttempt(http::CallEnd::kInvalid);
+      return;
+    }
+  }
+  MarkBegan();
+  if (event.id) last_event_ = event.id;
+  if (!std::exchange(response_started_, true)) {
+    http::ResponseHead head = attempt_->head;
+    http::RemoveConnectionFields(head.headers);
+    request_->StartStream(std::move(head));
+  }
+  request_->Write(event.text);
+  owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
+}
+
+void Exchange::OnEnd(http::CallEnd end) {
+  const auto self = shared_from_this();
+  const bool rejected =
+      attempt_->has_head && (attempt_->facts.not_executed || attempt_->facts.other_backend);
+  if (rejected) {
+    OnRejected();
+  } else if (end == http::CallEnd::kComplete) {
+    OnCompleteResponse();
+  } else {
+    OnBrokenAttempt(end);
+  }
+}
+
+void Exchange::OnCompleteResponse() {
+  const std::uint16_t status = attempt_->head.status;
+  reached_.insert(attempt_->backend_server);
+  if (attempt_->streaming) {
+    if (!attempt_->events.rest().empty()) {
+      OnBrokenAttempt(http::CallEnd::kCutShort);
+      return;
+    }
+    if (!std::exchange(response_started_, true)) {
+      http::ResponseHead head = attempt_->head;
+      http::RemoveConnectionFields(head.headers);
+      request_->StartStream(std::move(head));
+    }
+    request_->EndStream();
+    ReleaseAttempt(Verdict::kSuccess);
+    End("answered", status, "");
+    return;
+  }
+  if (IsSuccess(status) && !attempt_->facts.has_receipt) {
+    OnBrokenAttempt(http::CallEnd::kInvalid);
+    return;
+  }
+  if (IsServerError(status) && repeatable()) {
+    const http::ResponseHead head = attempt_->head;
+    const std::string body = attempt_->body;
+    ReleaseAttempt(Verdict::kFailure);
+    if (TryAgain(/*ran=*/true)) return;
+    attempt_.emplace();
+    attempt_->head = head;
+    attempt_->body = body;
+    Deliver();
+    return;
+  }
+  Deliver();
+}
+
+void Exchange::Deliver() {
+  http::ResponseHead head = attempt_->head;
+  const std::uint16_t status = head.status;
+  if (response_started_) {
+    Fail(kBadGateway, "failed_after_start");
+    return;
+  }
+  http::RemoveConnectionFields(head.headers);
+  request_->Respond(std::move(head), std::move(attempt_->body));
+  ReleaseAttempt(IsServerError(status) ? Verdict::kFailure : Verdict::kSuccess);
+  End("answered", status, "");
+}
+
+void Exchange::OnBrokenAttempt(http::CallEnd end) {
+  const bool sent = end != http::CallEnd::kNotSent;
+  if (sent) reached_.insert(attempt_->backend_server);
+  owner_.metrics_.CountEvent(NameOf(end));
+  owner_.log_.Warn(LogLine("attempt_failed")
+                       .Add("request", facts_.id)
+                       .Add("backend", attempt_->backend_server.value())
+                       .Add("end", NameOf(end))
+                       .Add("attempt", sends_)
+                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
+                       .Add("status", attempt_->has_head ? attempt_->head.status : 0)
+                       .text());
+  attempt_->connection->Close();
+  ReleaseAttempt(Verdict::kFailure);
+  if (TryAgain(sent)) return;
+  if (sent || response_started_ || !reached_.empty()) {
+    Fail(kBadGateway, NameOf(end));
+  } else {
+    Answer(kUnavailable, "backend_unreachable", kRetryPause);
+  }
+}
+
+void Exchange::OnRejected() {
+  http::ResponseHead head = attempt_->head;
+  std::string body = std::move(attempt_->body);
+  const bool other = attempt_->facts.other_backend;
+  owner_.metrics_.CountEvent(other ? "other_backend" : "rejected");
+  owner_.log_.Info(LogLine("attempt_rejected")
+                       .Add("request", facts_.id)
+                       .Add("backend", attempt_->backend_server.value())
+                       .Add("status", head.status)
+                       .Add("attempt", sends_)
+                       .text());
+  ReleaseAttempt(other ? Verdict::kFailure : Verdict::kFull);
+  repeat_pending_ = true;
+  if (TryAgain(/*ran=*/false)) return;
+  if (response_started_ || !reached_.empty()) {
+    Fail(kBadGateway, "rejected");
+    return;
+  }
+  if (other || head.status == kMisdirected) {
+    Answer(kUnavailable, "backend_replaced", kRetryPause);
+    return;
+  }
+  http::RemoveConnectionFields(head.headers);
+  if (head.headers.Find("Retry-After") == nullptr && head.status == kUnavailable) {
+    head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(kRetryPause));
+  }
+  const std::uint16_t status = head.status;
+  request_->Respond(std::move(head), std::move(body));
+  End("rejected", status, "backend_rejected");
+}
+
+bool Exchange::TryAgain(bool ran) {
+  const common::Time now = common::BootClock::now();
+  if (state_ == State::kEnded || caller_gone_ || sends_ >= kMostSends) return false;
+  if (deadline_ - now < kLeastTimeLeft) return false;
+  if (ran && !repeatable()) return false;
+  if (reached_.size() >= std::max(route_->max_attempts(), 1U)) return false;
+  // A send that never arrived is no repeat.
+  if ((ran || repeat_pending_) && !owner_.repeats_.TryRepeat(service_, now)) {
+    owner_.metrics_.CountEvent("repeat_budget_spent");
+    return false;
+  }
+  repeat_pending_ = false;
+  state_ = State::kQueued;
+  queued_at_ = now;
+  Forwarder::ServiceState& state = owner_.StateOf(service_);
+  const std::uint64_t resume_from = last_event_.value_or(0);
+  state.scheduler.Requeue(id(), resume_from, last_backend_);
+  boost::asio::post(owner_.loop_, [weak = weak_from_this()] {
+    if (const auto exchange = weak.lock()) exchange->owner_.Pump(exchange->service_);
+  });
+  return true;
+}
+
+void Exchange::ReleaseAttempt(Verdict verdict) {
+  const common::Time now = common::BootClock::now();
+  Attempt attempt = std::move(*attempt_);
+  attempt_.reset();
+  if (attempt.connection == nullptr) return;
+  last_backend_ = attempt.backend_server;
+  owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false);
+  switch (verdict) {
+    case Verdict::kSuccess:
+      owner_.placement_.OnSuccess(attempt.backend_server);
+      break;
+    case Verdict::kFailure:
+      owner_.placement_.OnFailure(attempt.backend_server, now);
+      break;
+    case Verdict::kNone:
+      owner_.placement_.OnNoVerdict(attempt.backend_server);
+      break;
+    case Verdict::kFull:
+      owner_.placement_.OnFull(attempt.backend_server, /*alone=*/false, now);
+      break;
+  }
+  owner_.pool_.Return(attempt.backend_server, attempt.connection, now);
+}
+
+void Exchange::OnGone() {
+  if (state_ == State::kEnded) return;
+  caller_gone_ = true;
+  if (state_ == State::kRunning && attempt_ && !repeatable() &&
+      route_->kind() == schema::CALL_KIND_ONCE) {
+    // The backend server goes on with a call that may not be repeated, so its outcome is logged.
+    return;
+  }
+  if (attempt_) {
+    attempt_->connection->Close();
+    ReleaseAttempt(Verdict::kNone);
+  }
+  End("caller_gone", 0, "");
+}
+
+void Exchange::CheckTime(common::Time now) {
+  if (state_ != State::kRunning || !attempt_) return;
+  if (request_->buffered_bytes() <= kMostBuffered) attempt_->connection->PauseReading(false);
+  if (now < deadline_ + kDeadlineSlack) return;
+  attempt_->connection->Close();
+  reached_.insert(attempt_->backend_server);
+  ReleaseAttempt(Verdict::kFailure);
+  Fail(kGatewayTimeout, "deadline");
+}
+
+void Exchange::Answer(std::uint16_t status, std::string_view reason,
+                      std::optional<milliseconds> retry_after) {
+  http::ResponseHead head{.status = status, .reason = {}, .headers = {}};
+  if (retry_after) {
+    head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(*retry_after));
+  }
+  request_->Respond(std::move(head), {});
+  owner_.metrics_.CountRefusal(reason);
+  End("refused", status, reason);
+}
+
+void Exchange::Fail(std::uint16_t status, std::string_view reason) {
+  owner_.metrics_.CountRefusal(reason);
+  if (response_started_) {
+    request_->Abort();
+  } else {
+    request_->Respond({.status = status, .reason = {}, .headers = {}}, {});
+  }
+  End("failed", status, reason);
+}
+
+void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
+  if (state_ == State::kEnded) return;
+  const auto self = shared_from_this();
+  state_ = State::kEnded;
+  const common::Time now = common::BootClock::now();
+  LogLine line("request_end");
+  line.Add("request", facts_.id)
+      .Add("outcome", outcome)
+      .Add("status", status)
+      .Add("reason", reason)
+      .Add("route", route_ == nullptr ? std::string_view() : route_->id())
+      .Add("customer", customer_.value())
+      .Add("tier", tier_.value())
+      .Add("service", service_)
+      .Add("backend", last_backend_.value())
+      .Add("sends", sends_)
+      .Add("queued_ms", Millis(queued_for_))
+      .Add("first_ms", first_byte_at_ ? Millis(*first_byte_at_ - request_->arrived_at()) : -1)
+      .Add("total_ms", Millis(now - request_->arrived_at()))
+      .Add("config_index", owner_.table_index_.value());
+  if (owner_.list_read_at_) line.Add("list_age_ms", Millis(now - *owner_.list_read_at_));
+  owner_.log_.Info(line.text());
+  if (!service_.empty()) {
+    Forwarder::ServiceState& state = owner_.StateOf(service_);
+    if (in_scheduler_) {
+      if (!state.scheduler.Cancel(id())) state.scheduler.Finish(id());
+    }
+    state.exchanges.erase(id());
+    boost::asio::post(owner_.loop_, [&owner = owner_, service = service_] { owner.Pump(service); });
+  }
+  owner_.exchanges_.erase(number_);
+}
+
+}  // namespace briarwood::forwarding::impl
--- /dev/null
+++ b/src/forwarding/forwarder.cc
@@ -0,0 +1,177 @@
+#include "forwarding/impl/forwarder.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "briarwood/observability/log_line.h"
+#include "forwarding/impl/exchange.h"
+
+namespace briarwood::forwarding::impl {
+
+using observability::LogLine;
+
+namespace {
+
+/// Requests of all classes that wait for one service at one entry.
+constexpr std::size_t kQueueLimit = 2000;
+/// Slots of a backend server that states none.
+constexpr std::uint32_t kDefaultSlots = 8;
+/// Share of a backend server's connections that all entries together use, so that entries which do
+/// not know of each other yet do not reach its limit.
+constexpr double kConnectionShare = 0.8;
+constexpr std::uint32_t kLeastConnections = 4;
+
+routing::Scheduler MakeScheduler() {
+  routing::SchedulerOptions options;
+  options.total_queue_limit = kQueueLimit;
+  // An answer after the target is still worth more to its caller than none.
+  options.features.drop_late = false;
+  return routing::Scheduler::Create(std::move(options)).value();
+}
+
+}  // namespace
+
+Forwarder::Forwarder(http::EventLoop& loop, ForwarderOptions options,
+                     observability::Metrics& metrics)
+    : loop_(loop),
+      options_(std::move(options)),
+      metrics_(metrics),
+      random_(options_.seed),
+      placement_({.near_domain = options_.failure_domain, .seed = options_.seed}),
+      repeats_(options_.repeats),
+      pool_(loop) {}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::SetTable(std::shared_ptr<const routing::ForwardTable> table,
+                         common::LogIndex index) {
+  table_ = std::move(table);
+  table_index_ = index;
+  ApplyBackends();
+  log_.Info(LogLine("configuration_in_force")
+                .Add("config_index", index.value())
+                .Add("known", table_->known())
+                .Add("routes", table_->configuration().routes.size())
+                .Add("customers", table_->configuration().customers.size())
+                .text());
+}
+
+void Forwarder::SetBackends(const schema::BackendList& list, common::Time read_at) {
+  if (list_read_at_ && read_at <= *list_read_at_) return;
+  list_read_at_ = read_at;
+  backends_ = list;
+  ApplyBackends();
+}
+
+void Forwarder::ConfirmBackends(common::Time read_at) {
+  if (list_read_at_ && read_at > *list_read_at_) list_read_at_ = read_at;
+}
+
+void Forwarder::SetEntryCount(std::uint32_t entries) {
+  if (entries == entries_) return;
+  log_.Info(LogLine("entry_count").Add("entries", entries).Add("before", entries_).text());
+  entries_ = entries;
+  repeats_.SetEntryCount(entries);
+  ApplyBackends();
+}
+
+std::uint32_t Forwarder::ConnectionShare(const std::string& service) const {
+  const schema::Service* known = table_ ? table_->FindService(service) : nullptr;
+  if (known == nullptr || known->max_connections() == 0) return 0;
+  const std::uint32_t entries = std::max(entries_, 1U);
+  const double share = kConnectionShare * known->max_connections() / entries;
+  return std::max(kLeastConnections, static_cast<std::uint32_t>(share));
+}
+
+void Forwarder::ApplyBackends() {
+  std::vector<routing::BackendDescription> descriptions;
+  std::map<common::BackendServerId, std::string> present;
+  for (const schema::ListedBackend& backend : backends_.backends()) {
+    const std::optional<http::Endpoint> address = http::ParseEndpoint(backend.address());
+    if (!address) continue;
+    const common::BackendServerId id(backend.id());
+    if (!present.emplace(id, backend.service()).second) continue;
+    pool_.Set(id, *address, ConnectionShare(backend.service()));
+    descriptions.push_back(
+        {.id = id,
+         .failure_domain = common::FailureDomainId(backend.failure_domain()),
+         .service = backend.service(),
+         .max_concurrency = backend.slots() == 0 ? kDefaultSlots : backend.slots()});
+  }
+  placement_.SetBackends(descriptions);
+  for (const schema::ListedBackend& backend : backends_.backends()) {
+    placement_.SetDraining(common::BackendServerId(backend.id()), backend.leaving());
+  }
+  for (const auto& [id, service] : service_of_) {
+    if (present.contains(id)) continue;
+    pool_.Remove(id);
+    log_.Info(LogLine("backend_gone").Add("backend", id.value()).Add("service", service).text());
+  }
+  for (const auto& [id, service] : present) {
+    if (service_of_.contains(id)) continue;
+    log_.Info(LogLine("backend_listed").Add("backend", id.value()).Add("service", service).text());
+  }
+  service_of_ = std::move(present);
+}
+
+Forwarder::ServiceState& Forwarder::StateOf(const std::string& service) {
+  const auto found = services_.find(service);
+  if (found != services_.end()) return found->second;
+  return services_.emplace(service, ServiceState{.scheduler = MakeScheduler(), .exchanges = {}})
+      .first->second;
+}
+
+void Forwarder::Handle(std::shared_ptr<http::IncomingRequest> request) {
+  const std::uint64_t number = next_exchange_++;
+  auto exchange = std::make_shared<Exchange>(*this, number, std::move(request));
+  exchanges_[number] = exchange;
+  exchange->Start();
+}
+
+void Forwarder::Enqueue(const std::string& service, const routing::ClassPolicy& policy,
+                        routing::QueuedRequest request, Exchange& exchange) {
+  ServiceState& state = StateOf(service);
+  state.scheduler.SetClass(policy);
+  state.exchanges[request.id] = &exchange;
+  HandleDropped(state, state.scheduler.Enqueue(std::move(request), common::BootClock::now()));
+  Pump(service);
+}
+
+void Forwarder::HandleDropped(ServiceState& state, std::vector<routing::DroppedRequest> dropped) {
+  for (const routing::DroppedRequest& one : dropped) {
+    const auto found = state.exchanges.find(one.request.id);
+    if (found == state.exchanges.end()) continue;
+    const std::shared_ptr<Exchange> exchange = found->second->shared_from_this();
+    state.exchanges.erase(found);
+    exchange->OnDropped(one.reason);
+  }
+}
+
+void Forwarder::Pump(const std::string& service) {
+  ServiceState& state = StateOf(service);
+  const common::Time now = common::BootClock::now();
+  placement_.Refresh(now);
+  while (auto dispatch = routing::NextDispatch(state.scheduler, placement_, now)) {
+    const auto found = state.exchanges.find(dispatch->picked.request.id);
+    if (found == state.exchanges.end()) continue;
+    const std::shared_ptr<Exchange> exchange = found->second->shared_from_this();
+    exchange->OnPlaced(*dispatch);
+  }
+  HandleDropped(state, state.scheduler.TakeDropped());
+}
+
+void Forwarder::Tick(common::Time now) {
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  exchanges.reserve(exchanges_.size());
+  for (const auto& [number, exchange] : exchanges_) exchanges.push_back(exchange);
+  for (const auto& exchange : exchanges) exchange->CheckTime(now);
+  for (auto& [service, state] : services_) {
+    if (state.scheduler.queued() == 0) continue;
+    state.scheduler.DropLate(now);
+    Pump(service);
+  }
+  pool_.CloseExpired(now);
+}
+
+}  // namespace briarwood::forwarding::impl
--- /dev/null
+++ b/src/forwarding/forwarding_node.cc
@@ -0,0 +1,488 @@
+#include "briarwood/forwarding/forwarding_node.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "briarwood/distribution/replica.h"
+#include "briarwood/distribution/sync_client.h"
+#include "briarwood/observability/log_line.h"
+#include "briarwood/proposals/background_proposer.h"
+#include "briarwood/proposals/usage_reporter.h"
+#include "briarwood/rpc/advertised_address.h"
+#include "briarwood/rpc/node_options.h"
+#include "briarwood/rpc/server.h"
+#include "forwarding/impl/forwarder.h"
+#include "forwarding/impl/usage_counter.h"
+
+namespace briarwood::forwarding {
+
+using observability::LogLine;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTickPeriod{10};
+constexpr milliseconds kUsagePeriod{500};
+constexpr milliseconds kListPoll{250};
+/// Pause after the platform refused or failed a reading of its list.
+constexpr milliseconds kListPause{1000};
+constexpr milliseconds kDefaultListStale{2000};
+/// A load balancer that asks once a second takes an entry out of rotation after two refusals.
+constexpr milliseconds kLeaveRotation{2600};
+constexpr milliseconds kDrainPoll{20};
+constexpr milliseconds kUsageFlushLimit{800};
+constexpr unsigned kRpcThreads = 2;
+/// Descriptors for files, the log, the RPC layer and the listeners.
+constexpr std::uint32_t kReservedDescriptors = 400;
+constexpr std::uint32_t kDefaultDescriptors = 4000;
+/// Part of the descriptors that callers' connections take; the rest is for backend servers.
+constexpr double kCallerDescriptors = 0.6;
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kUnavailable = 503;
+
+std::vector<std::string> ToVector(const google::protobuf::RepeatedPtrField<std::string>& values) {
+  return {values.begin(), values.end()};
+}
+
+routing::RepeatBudgetOptions RepeatOptions(const schema::ForwardingSettings& settings) {
+  routing::RepeatBudgetOptions options;
+  if (settings.repeat_ratio() > 0) options.ratio = settings.repeat_ratio();
+  if (settings.repeat_burst() > 0) options.burst = settings.repeat_burst();
+  if (settings.repeat_window_ms() > 0) options.window = milliseconds(settings.repeat_window_ms());
+  return options;
+}
+
+}  // namespace
+
+class ForwardingNode::Impl {
+ public:
+  explicit Impl(ForwardingNodeOptions options)
+      : options_(std::move(options)),
+        metrics_(observability::MetricsOptions{}),
+        tick_timer_(loop_),
+        usage_counter_(options_.incarnation,
+                       milliseconds(options_.settings.forwarding().usage_window_ms())),
+        usage_({.proposer = {.members = ToVector(options_.settings.control_rpc()),
+                             .credential = options_.credential,
+                             .ca_file = {}},
+                .reporter = options_.settings.node().id(),
+                .incarnation = options_.incarnation,
+                .period = kUsagePeriod,
+                .on_committed = {}}),
+        sync_client_({.parents = ToVector(options_.settings.control_rpc()),
+                      .credential = options_.credential,
+                      .ca_file = {}},
+                     replica_, MakeCallbacks()),
+        forwarder_(
+            loop_,
+            {.failure_domain = common::FailureDomainId(options_.settings.node().failure_domain()),
+             .codec = options_.codec,
+             .repeats = RepeatOptions(options_.settings.forwarding()),
+             .seed = options_.seed,
+             .on_began =
+                 [this](const common::CustomerId& customer) {
+                   usage_counter_.Count(customer, common::BootClock::now());
+                 }},
+            metrics_) {}
+
+  ~Impl() {
+    {
+      const std::lock_guard lock(stop_mutex_);
+      stopping_ = true;
+    }
+    stop_changed_.notify_all();
+    sync_client_.Stop();
+    rpc_server_.Stop();
+    rows_ = {};
+    if (list_thread_.joinable()) list_thread_.join();
+    usage_.Stop();
+    if (loop_thread_.joinable()) {
+      boost::asio::post(loop_, [this] {
+        server_.reset();
+        ready_server_.reset();
+        loop_.stop();
+      });
+      loop_thread_.join();
+    }
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  /// \returns an empty string, or what went wrong.
+  std::string Start() {
+    const schema::EntrySettings& settings = options_.settings;
+    rows_ = replica_.Subscribe(
+        [this](const std::vector<distribution::RowTable::RowKey>&) { OnRows(); });
+    usage_.ReportFor({options_.incarnation});
+    if (std::string problem = StartHttp(); !problem.empty()) return problem;
+    sync_client_.Register(rpc_server_);
+    rpc::ServerOptions rpc_options = rpc::MakeServerOptions(settings.node(), options_.credential);
+    rpc_options.threads = kRpcThreads;
+    const auto rpc_port = rpc_server_.Start(rpc_options);
+    if (!rpc_port.ok()) return rpc_port.error();
+    rpc_port_ = rpc_port.value();
+    ScheduleTick();
+    loop_thread_ = std::thread([this] { RunLoop(); });
+    if (options_.read_backends) list_thread_ = std::thread([this] { RunList(); });
+    sync_client_.Start();
+    return {};
+  }
+
+  [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+  [[nodiscard]] std::uint16_t ready_port() const noexcept { return ready_port_; }
+  [[nodiscard]] bool Ready() const { return ready_; }
+
+  void SetSeeds(const std::vector<std::string>& seeds) {
+    const std::lock_guard lock(seeds_mutex_);
+    seeds_ = seeds;
+    UpdateParentsLocked();
+  }
+
+  bool Drain(milliseconds limit) {
+    const common::Time started = common::BootClock::now();
+    const common::Time end = started + limit;
+    draining_ = true;
+    ready_ = false;
+    log_.Info(LogLine("stopping").Add("in_flight", InFlight()).text());
+    boost::asio::post(loop_, [this] { server_->Retire(); });
+    bool idle = false;
+    while (common::BootClock::now() < end) {
+      std::this_thread::sleep_for(kDrainPoll);
+      if (common::BootClock::now() - started < kLeaveRotation) continue;
+      boost::asio::post(loop_, [this] { server_->CloseIdle(); });
+      if (InFlight() == 0) {
+        idle = true;
+        break;
+      }
+    }
+    FlushUsage();
+    const auto left = std::chrono::duration_cast<milliseconds>(end - common::BootClock::now());
+    if (!usage_.Flush(std::clamp(left, kDrainPoll, kUsageFlushLimit))) {
+      log_.Warn(LogLine("usage_not_flushed").Add("records", usage_.held()).text());
+    }
+    log_.Info(LogLine("drained").Add("idle", idle).Add("in_flight", InFlight()).text());
+    return idle;
+  }
+
+ private:
+  void RunLoop() {
+    const auto work = boost::asio::make_work_guard(loop_);
+    loop_.run();
+  }
+
+  std::string StartHttp() {
+    const schema::EntrySettings& settings = options_.settings;
+    const std::uint32_t descriptors = settings.forwarding().max_descriptors() == 0
+                                          ? kDefaultDescriptors
+                                          : settings.forwarding().max_descriptors();
+    const std::uint32_t usable = descriptors - std::min(descriptors / 2, kReservedDescriptors);
+    auto server = http::IncomingServer::Start(
+        loop_,
+        {.listen = settings.listen(),
+         .limits = [this] { return limits_; },
+         .max_connections = static_cast<std::size_t>(usable * kCallerDescriptors)},
+        [this](std::shared_ptr<http::IncomingRequest> request) {
+          forwarder_.Handle(std::move(request));
+        });
+    if (!server.ok()) return server.error();
+    server_ = std::move(server).value();
+    port_ = server_->port();
+    if (settings.forwarding().ready_listen().empty()) return {};
+    auto ready = http::IncomingServer::Start(
+        loop_, {.listen = settings.forwarding().ready_listen()},
+        [this](const std::shared_ptr<http::IncomingRequest>& request) { HandleStatus(*request); });
+    if (!ready.ok()) return ready.error();
+    ready_server_ = std::move(ready).value();
+    ready_port_ = ready_server_->port();
+    return {};
+  }
+
+  void HandleStatus(http::IncomingRequest& request) {
+    const std::string_view path = request.head().path();
+    http::ResponseHead head;
+    std::string body;
+    if (path == options_.codec.ready_path) {
+      head.status = ready_ ? kOk : kUnavailable;
+    } else if (path == "/metrics") {
+      head.status = kOk;
+      head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      body = metrics_.Render();
+    } else {
+      head.status = kNotFound;
+    }
+    request.Respond(std::move(head), std::move(body));
+  }
+
+  void ScheduleTick() {
+    tick_timer_.expires_after(kTickPeriod);
+    tick_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      OnTick(common::BootClock::now());
+      ScheduleTick();
+    });
+  }
+
+  void OnTick(common::Time now) {
+    forwarder_.Tick(now);
+    in_flight_ = forwarder_.in_flight();
+    UpdateReady();
+    if (now - last_usage_ < kUsagePeriod) return;
+    last_usage_ = now;
+    HoldUsage();
+  }
+
+  void UpdateReady() {
+    const bool ready = !draining_ && forwarder_.has_configuration() && forwarder_.has_backends();
+    if (ready_.exchange(ready) == ready) return;
+    log_.Info(LogLine(ready ? "ready" : "not_ready")
+                  .Add("draining", draining_.load())
+                  .Add("configuration", forwarder_.has_configuration())
+                  .Add("backends", forwarder_.has_backends())
+                  .text());
+  }
+
+  void HoldUsage() {
+    for (const schema::BillingRecord& record : usage_counter_.Take()) usage_.Hold(record);
+  }
+
+  /// Moves the counts of the loop to the reporter and waits for that.
+  void FlushUsage() {
+    std::promise<void> done;
+    boost::asio::post(loop_, [&] {
+      HoldUsage();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  [[nodiscard]] std::size_t InFlight() const noexcept { return in_flight_; }
+
+  /// Runs on the thread that applies answers, so the tables belong to one index.
+  void OnRows() {
+    auto table = std::make_shared<const routing::ForwardTable>(
+        routing::ForwardConfiguration{.routes = replica_.ForwardRoutes(),
+                                      .services = replica_.Services(),
+                                      .customers = replica_.Customers(),
+                                      .limits = replica_.CallerLimits()});
+    const common::LogIndex index = replica_.index();
+    boost::asio::post(loop_, [this, table = std::move(table), index] {
+      limits_ = LimitsOf(table->limits());
+      forwarder_.SetTable(table, index);
+    });
+  }
+
+  static http::IncomingLimits LimitsOf(const schema::CallerLimits& settings) {
+    http::IncomingLimits limits;
+    if (settings.max_header_bytes() != 0) limits.max_header_bytes = settings.max_header_bytes();
+    if (settings.max_body_bytes() != 0) limits.max_body_bytes = settings.max_body_bytes();
+    if (settings.header_timeout_ms() != 0) {
+      limits.header_timeout = milliseconds(settings.header_timeout_ms());
+    }
+    if (settings.idle_timeout_ms() != 0) {
+      limits.idle_timeout = milliseconds(settings.idle_timeout_ms());
+    }
+    return limits;
+  }
+
+  [[nodiscard]] distribution::SyncClientCallbacks MakeCallbacks() {
+    return {.fill = [this](schema::SyncRequest& request) { Fill(request); },
+            .on_response = [this](const schema::SyncResponse& response,
+                                  common::Time sent_at) { OnResponse(response, sent_at); },
+            .on_failure = [this](const std::string& parent,
+                                 const std::string& problem) { OnSyncFailure(parent, problem); }};
+  }
+
+  void Fill(schema::SyncRequest& request) {
+    const schema::NodeSettings& settings = options_.settings.node();
+    schema::NodeIdentity& node = *request.mutable_node();
+    node.set_id(settings.id());
+    node.set_role(schema::NODE_ROLE_ENTRY);
+    node.set_incarnation(options_.incarnation.value());
+    node.set_failure_domain(settings.failure_domain());
+    node.set_rpc_address(rpc::AdvertisedAddress(settings, rpc_port_));
+    request.set_ready(ready_);
+    schema::Heartbeat& own = *request.add_heartbeats();
+    *own.mutable_node() = node;
+    own.set_index(replica_.index().value());
+    own.set_ready(ready_);
+    request.set_wall_unix_ms(proposals::WallClockMillis());
+    const common::Time now = common::BootClock::now();
+    const std::lock_guard lock(list_mutex_);
+    const auto age = list_read_at_ ? std::chrono::duration_cast<milliseconds>(now - *list_read_at_)
+                                   : milliseconds(std::chrono::hours(1));
+    request.set_backends_age_ms_plus_one(static_cast<std::uint64_t>(age.count()) + 1);
+    request.set_backends_digest(list_digest_);
+  }
+
+  void OnResponse(const schema::SyncResponse& response, common::Time sent_at) {
+    const common::Time now = common::BootClock::now();
+    if (lost_control_.exchange(false)) {
+      log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
+    }
+    if (response.agreed_unix_ms() != 0) {
+      const common::Time answered_at = sent_at + (now - sent_at) / 2;
+      boost::asio::post(loop_, [this, answered_at, agreed = response.agreed_unix_ms()] {
+        usage_counter_.SetAgreedTime(common::UnixMillis(static_cast<std::int64_t>(agreed)),
+                                     answered_at);
+      });
+    }
+    if (response.entry_count() != 0) {
+      boost::asio::post(
+          loop_, [this, entries = response.entry_count()] { forwarder_.SetEntryCount(entries); });
+    }
+    if (response.has_backends()) {
+      TakeList(response.backends(), sent_at - milliseconds(response.backends().age_ms()),
+               "control");
+    }
+    if (response.control_rpc_size() == 0) return;
+    const std::lock_guard lock(seeds_mutex_);
+    members_ = ToVector(response.control_rpc());
+    UpdateParentsLocked();
+  }
+
+  void OnSyncFailure(const std::string& parent, const std::string& problem) {
+    if (lost_control_.exchange(true)) return;
+    log_.Warn(LogLine("control_lost").Add("parent", parent).Add("problem", problem).text());
+  }
+
+  /// Members that a parent named go first; the seeds of the settings may be out of date.
+  void UpdateParentsLocked() {
+    std::vector<std::string> parents = members_;
+    std::sort(parents.begin(), parents.end());
+    for (const std::string& seed : seeds_) {
+      if (std::find(parents.begin(), parents.end(), seed) == parents.end()) {
+        parents.push_back(seed);
+      }
+    }
+    if (parents.empty()) return;
+    sync_client_.SetParents(parents);
+    usage_.SetMembers(parents);
+  }
+
+  void TakeList(const schema::BackendList& list, common::Time read_at, std::string_view source) {
+    bool source_changed = false;
+    bool unchanged = false;
+    {
+      const std::lock_guard lock(list_mutex_);
+      if (list_read_at_ && read_at <= *list_read_at_) return;
+      list_read_at_ = read_at;
+      unchanged = list.unchanged() || list.digest() == list_digest_;
+      list_digest_ = list.digest();
+      source_changed = std::exchange(list_source_, source) != source;
+    }
+    if (source_changed) {
+      log_.Info(LogLine("backend_list_source")
+                    .Add("source", source)
+                    .Add("backends", list.backends_size())
+                    .text());
+    }
+    boost::asio::post(loop_, [this, list, read_at, unchanged] {
+      unchanged ? forwarder_.ConfirmBackends(read_at) : forwarder_.SetBackends(list, read_at);
+    });
+  }
+
+  [[nodiscard]] bool ListIsStale(common::Time now) {
+    const std::uint64_t configured = options_.settings.forwarding().list_stale_ms();
+    const milliseconds stale = configured == 0 ? kDefaultListStale : milliseconds(configured);
+    const std::lock_guard lock(list_mutex_);
+    return !list_read_at_ || now - *list_read_at_ >= stale;
+  }
+
+  void RunList() {
+    milliseconds pause = kListPoll;
+    while (!WaitForStop(pause)) {
+      pause = kListPoll;
+      const common::Time asked_at = common::BootClock::now();
+      if (!ListIsStale(asked_at)) continue;
+      const auto list = options_.read_backends();
+      if (list.ok()) {
+        TakeList(list.value(), asked_at, "platform");
+      } else {
+        log_.Warn(LogLine("backend_list_failed").Add("problem", list.error()).text());
+        pause = kListPause;
+      }
+    }
+  }
+
+  /// \returns true when the entry stops.
+  bool WaitForStop(milliseconds period) {
+    std::unique_lock lock(stop_mutex_);
+    return stop_changed_.wait_for(lock, period, [this] { return stopping_; });
+  }
+
+  ForwardingNodeOptions options_;
+  observability::Logger log_{"entry"};
+  observability::Metrics metrics_;
+  http::EventLoop loop_{1};
+  http::Timer tick_timer_;
+  impl::UsageCounter usage_counter_;
+  proposals::UsageReporter usage_;
+  distribution::Replica replica_;
+  distribution::SyncClient sync_client_;
+  rpc::Server rpc_server_;
+  impl::Forwarder forwarder_;
+  std::unique_ptr<http::IncomingServer> server_;
+  std::unique_ptr<http::IncomingServer> ready_server_;
+  http::IncomingLimits limits_;
+  std::uint16_t port_ = 0;
+  std::uint16_t ready_port_ = 0;
+  std::uint16_t rpc_port_ = 0;
+  common::Time last_usage_;
+  std::atomic<bool> ready_ = false;
+  std::atomic<bool> draining_ = false;
+  std::atomic<bool> lost_control_ = false;
+  std::atomic<std::size_t> in_flight_ = 0;
+  std::mutex seeds_mutex_;
+  std::vector<std::string> seeds_ = ToVector(options_.settings.control_rpc());
+  std::vector<std::string> members_;
+  std::mutex list_mutex_;
+  std::optional<common::Time> list_read_at_;
+  std::uint64_t list_digest_ = 0;
+  std::string list_source_;
+  std::mutex stop_mutex_;
+  std::condition_variable stop_changed_;
+  bool stopping_ = false;
+  distribution::Replica::Subscription rows_;
+  std::thread loop_thread_;
+  std::thread list_thread_;
+};
+
+ForwardingNode::ForwardingNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+ForwardingNode::~ForwardingNode() = default;
+
+common::Result<std::unique_ptr<ForwardingNode>> ForwardingNode::Start(
+    ForwardingNodeOptions options) {
+  using StartResult = common::Result<std::unique_ptr<ForwardingNode>>;
+  auto impl = std::make_unique<Impl>(std::move(options));
+  if (std::string problem = impl->Start(); !problem.empty()) {
+    return StartResult::Failure(std::move(problem));
+  }
+  return StartResult::Success(std::unique_ptr<ForwardingNode>(new ForwardingNode(std::move(impl))));
+}
+
+std::uint16_t ForwardingNode::port() const noexcept { return impl_->port(); }
+
+std::uint16_t ForwardingNode::ready_port() const noexcept { return impl_->ready_port(); }
+
+bool ForwardingNode::Ready() const { return impl_->Ready(); }
+
+void ForwardingNode::SetSeeds(const std::vector<std::string>& control_rpc) {
+  impl_->SetSeeds(control_rpc);
+}
+
+bool ForwardingNode::Drain(milliseconds limit) { return impl_->Drain(limit); }
+
+}  // namespace briarwood::forwarding
--- /dev/null
+++ b/src/forwarding/impl/forwarder.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "briarwood/common/ids.h"
+#include "briarwood/common/random.h"
+#include "briarwood/forwarding/wire_codec.h"
+#include "briarwood/http/incoming.h"
+#include "briarwood/observability/log.h"
+#include "briarwood/observability/metrics.h"
+#include "briarwood/routing/dispatch.h"
+#include "briarwood/routing/forward_table.h"
+#include "briarwood/routing/placement.h"
+#include "briarwood/routing/repeat_budget.h"
+#include "briarwood/routing/scheduler.h"
+#include "fleet.pb.h"
+#include "forwarding/impl/backend_pool.h"
+
+namespace briarwood::forwarding::impl {
+
+class Exchange;
+
+struct ForwarderOptions {
+  common::FailureDomainId failure_domain;
+  WireCodec codec;
+  routing::RepeatBudgetOptions repeats;
+  std::uint64_t seed = 1;
+  /// Called when a backend server began to run a request.
+  std::function<void(const common::CustomerId& customer)> on_began;
+};
+
+/// Everything that the requests of one entry share: configuration, backend servers, queues,
+/// connections and budgets. Belongs to the thread of the event loop.
+class Forwarder {
+ public:
+  Forwarder(http::EventLoop& loop, ForwarderOptions options, observability::Metrics& metrics);
+  ~Forwarder();
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+
+  void SetTable(std::shared_ptr<const routing::ForwardTable> table, common::LogIndex index);
+  /// \param read_at  time at which the platform gave the list
+  void SetBackends(const schema::BackendList& list, common::Time read_at);
+  /// The list was read again and has not changed.
+  void ConfirmBackends(common::Time read_at);
+  void SetEntryCount(std::uint32_t entries);
+
+  void Handle(std::shared_ptr<http::IncomingRequest> request);
+  /// Dispatches what waits, and drops what is too late; call it every 10 ms or so.
+  void Tick(common::Time now);
+
+  [[nodiscard]] std::size_t in_flight() const noexcept { return exchanges_.size(); }
+  [[nodiscard]] bool has_configuration() const noexcept { return table_ && table_->known(); }
+  [[nodiscard]] bool has_backends() const noexcept { return list_read_at_.has_value(); }
+
+ private:
+  friend class Exchange;
+
+  /// Queue and backend servers of one service.
+  struct ServiceState {
+    routing::Scheduler scheduler;
+    /// Requests that are queued or run, by the id that the scheduler knows.
+    std::map<common::RequestId, Exchange*> exchanges;
+  };
+
+  ServiceState& StateOf(const std::string& service);
+  /// Queues a request; the exchange is called back when it is placed or dropped.
+  void Enqueue(const std::string& service, const routing::ClassPolicy& policy,
+               routing::QueuedRequest request, Exchange& exchange);
+  void Pump(const std::string& service);
+  void HandleDropped(ServiceState& state, std::vector<routing::DroppedRequest> dropped);
+  [[nodiscard]] std::uint32_t ConnectionShare(const std::string& service) const;
+  void ApplyBackends();
+
+  http::EventLoop& loop_;
+  ForwarderOptions options_;
+  observability::Metrics& metrics_;
+  observability::Logger log_{"entry"};
+  common::Random random_;
+  std::shared_ptr<const routing::ForwardTable> table_;
+  common::LogIndex table_index_;
+  schema::BackendList backends_;
+  std::optional<common::Time> list_read_at_;
+  std::map<common::BackendServerId, std::string> service_of_;
+  std::uint32_t entries_ = 0;
+  routing::Placement placement_;
+  routing::RepeatBudget repeats_;
+  BackendPool pool_;
+  std::map<std::string, ServiceState> services_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
+  std::uint64_t next_exchange_ = 1;
+};
+
+}  // namespace briarwood::forwarding::impl
--- /dev/null
+++ b/src/http/incoming.cc
@@ -0,0 +1,605 @@
+#include "briarwood/http/incoming.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <deque>
+#include <list>
+#include <optional>
+#include <utility>
+
+namespace briarwood::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+/// Time for which unread bytes are discarded after a response that ends a connection early; without
+/// it the kernel resets the connection and the peer may lose the response.
+constexpr std::chrono::milliseconds kLingerTime{500};
+/// Memory that an idle connection keeps for its next request.
+constexpr std::size_t kKeptBufferBytes = 4096;
+/// A peer that takes no bytes for this long is given up.
+constexpr std::chrono::milliseconds kSilenceLimit{10'000};
+/// Pause after a failed accept, which mostly means that descriptors have run out.
+constexpr std::chrono::milliseconds kAcceptPause{20};
+
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kRequestTimeout = 408;
+constexpr std::uint16_t kContentTooLarge = 413;
+constexpr std::uint16_t kHeaderTooLarge = 431;
+constexpr std::uint16_t kInternalError = 500;
+constexpr std::uint16_t kNotImplemented = 501;
+
+std::uint16_t StatusOf(const ErrorCode& error) {
+  if (error == beast::http::error::header_limit) return kHeaderTooLarge;
+  if (error == beast::http::error::buffer_overflow) return kHeaderTooLarge;
+  if (error == beast::http::error::body_limit) return kContentTooLarge;
+  return kBadRequest;
+}
+
+bool IsParseError(const ErrorCode& error) {
+  return error.category() ==
+             beast::http::make_error_code(beast::http::error::bad_method).category() &&
+         error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
+}
+
+std::string ToText(beast::string_view text) { return {text.data(), text.size()}; }
+
+}  // namespace
+
+class IncomingConnection;
+
+class IncomingServer::Impl : public std::enable_shared_from_this<IncomingServer::Impl> {
+ public:
+  Impl(EventLoop& loop, IncomingOptions options, Handler handler)
+      : loop_(loop),
+        acceptor_(loop),
+        accept_timer_(loop),
+        options_(std::move(options)),
+        handler_(std::move(handler)) {}
+
+  /// \returns an empty string, or what went wrong.
+  std::string Listen();
+  void Accept();
+  void Close();
+
+  EventLoop& loop() noexcept { return loop_; }
+  [[nodiscard]] IncomingLimits limits() const { return options_.limits(); }
+  [[nodiscard]] bool retiring() const noexcept { return retiring_; }
+  void Handle(std::shared_ptr<IncomingRequest> request) { handler_(std::move(request)); }
+
+ private:
+  friend class IncomingServer;
+  friend class IncomingConnection;
+
+  void Adopt(Socket socket);
+
+  EventLoop& loop_;
+  asio::ip::tcp::acceptor acceptor_;
+  Timer accept_timer_;
+  IncomingOptions options_;
+  Handler handler_;
+  std::uint16_t port_ = 0;
+  bool retiring_ = false;
+  bool closed_ = false;
+  std::size_t in_flight_ = 0;
+  /// Open connections; idle ones in the order in which they became idle.
+  std::list<std::shared_ptr<IncomingConnection>> busy_;
+  std::list<std::shared_ptr<IncomingConnection>> idle_;
+};
+
+/// Connection of one peer: reads a request, hands it out, writes the response, and so on.
+class IncomingConnection : public std::enable_shared_from_this<IncomingConnection> {
+ public:
+  IncomingConnection(std::shared_ptr<IncomingServer::Impl> server, Socket socket)
+      : server_(std::move(server)), socket_(std::move(socket)), timer_(server_->loop()) {
+    LimitSilence(socket_, kSilenceLimit);
+    ErrorCode ignored;
+    socket_.non_blocking(true, ignored);
+  }
+
+  void Start() {
+    position_ = server_->busy_.insert(server_->busy_.end(), shared_from_this());
+    AwaitRequest();
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    ReportGone();
+    LeaveRequest();
+    (idle_ ? server_->idle_ : server_->busy_).erase(position_);
+  }
+
+  [[nodiscard]] bool closed() const noexcept { return closed_; }
+  [[nodiscard]] std::size_t buffered_bytes() const noexcept { return buffered_; }
+
+  // Response of the request in progress, whose number tells stale handles apart.
+  [[nodiscard]] bool Serves(std::uint64_t number) const noexcept {
+    return !closed_ && in_request_ && number == request_number_;
+  }
+  void Respond(ResponseHead head, std::string body);
+  void StartStream(ResponseHead head);
+  void Write(std::string_view piece);
+  void EndStream();
+  void SetGone(std::function<void()> callback);
+  [[nodiscard]] bool response_started() const noexcept { return response_started_; }
+
+ private:
+  using Parser = beast::http::request_parser<beast::http::string_body>;
+
+  void AwaitRequest();
+  void AwaitReadable();
+  void ReadHeader();
+  void ReadBody();
+  void Dispatch();
+  void Watch();
+  void OnWatched();
+  void FinishResponse();
+  void AfterResponse();
+  void Refuse(std::uint16_t status);
+  void Discard();
+  void Send(std::string bytes);
+  void Pump();
+  void SetTimer(std::chrono::milliseconds limit, std::function<void()> expired);
+  void SetIdle(bool idle);
+  void ReportGone() {
+    if (auto gone = std::exchange(gone_, nullptr)) asio::post(server_->loop(), std::move(gone));
+  }
+  void LeaveRequest() {
+    if (std::exchange(in_request_, false)) --server_->in_flight_;
+  }
+
+  std::shared_ptr<IncomingServer::Impl> server_;
+  Socket socket_;
+  Timer timer_;
+  std::uint64_t timer_number_ = 0;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::list<std::shared_ptr<IncomingConnection>>::iterator position_;
+
+  std::uint64_t request_number_ = 0;
+  bool in_request_ = false;
+  bool response_started_ = false;
+  bool response_ended_ = false;
+  bool chunked_ = false;
+  bool peer_is_http_1_0_ = false;
+  bool close_after_ = false;
+  bool discard_after_ = false;
+  bool idle_ = false;
+  bool watching_ = false;
+  bool awaiting_ = false;
+  bool closed_ = false;
+  std::function<void()> gone_;
+
+  std::deque<std::string> output_;
+  std::size_t buffered_ = 0;
+  bool writing_ = false;
+};
+
+namespace {
+
+/// Handle of one request; the connection outlives it or answers for it.
+class RequestHandle : public IncomingRequest {
+ public:
+  RequestHandle(std::shared_ptr<IncomingConnection> connection, std::uint64_t number,
+                RequestHead head, std::string body, common::Time arrived_at)
+      : connection_(std::move(connection)),
+        number_(number),
+        head_(std::move(head)),
+        body_(std::make_shared<const std::string>(std::move(body))),
+        arrived_at_(arrived_at) {}
+  RequestHandle(const RequestHandle&) = delete;
+  RequestHandle& operator=(const RequestHandle&) = delete;
+  ~RequestHandle() override {
+    if (!connection_->Serves(number_) || ended_) return;
+    if (connection_->response_started()) {
+      connection_->Close();
+    } else {
+      connection_->Respond({.status = kInternalError, .reason = {}, .headers = {}}, {});
+    }
+  }
+
+  [[nodiscard]] const RequestHead& head() const noexcept override { return head_; }
+  [[nodiscard]] const std::shared_ptr<const std::string>& body() const noexcept override {
+    return body_;
+  }
+  [[nodiscard]] common::Time arrived_at() const noexcept override { return arrived_at_; }
+
+  void Respond(ResponseHead head, std::string body) override {
+    if (!connection_->Serves(number_) || ended_) return;
+    ended_ = true;
+    connection_->Respond(std::move(head), std::move(body));
+  }
+  void StartStream(ResponseHead head) override {
+    if (connection_->Serves(number_) && !ended_) connection_->StartStream(std::move(head));
+  }
+  void Write(std::string_view piece) override {
+    if (connection_->Serves(number_) && !ended_) connection_->Write(piece);
+  }
+  void EndStream() override {
+    if (!connection_->Serves(number_) || ended_) return;
+    ended_ = true;
+    connection_->EndStream();
+  }
+  void Abort() override {
+    if (!connection_->Serves(number_) || ended_) return;
+    ended_ = true;
+    connection_->SetGone(nullptr);
+    connection_->Close();
+  }
+  [[nodiscard]] std::size_t buffered_bytes() const noexcept override {
+    return connection_->Serves(number_) ? connection_->buffered_bytes() : 0;
+  }
+  void OnGone(std::function<void()> callback) override {
+    if (connection_->Serves(number_) && !ended_) connection_->SetGone(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<IncomingConnection> connection_;
+  std::uint64_t number_;
+  RequestHead head_;
+  std::shared_ptr<const std::string> body_;
+  common::Time arrived_at_;
+  bool ended_ = false;
+};
+
+}  // namespace
+
+void IncomingConnection::SetTimer(std::chrono::milliseconds limit, std::function<void()> expired) {
+  const std::uint64_t number = ++timer_number_;
+  timer_.expires_after(limit);
+  timer_.async_wait(
+      [self = shared_from_this(), number, expired = std::move(expired)](const ErrorCode& error) {
+        if (!error && number == self->timer_number_ && !self->closed_) expired();
+      });
+}
+
+void IncomingConnection::SetIdle(bool idle) {
+  if (idle == idle_) return;
+  auto& from = idle_ ? server_->idle_ : server_->busy_;
+  auto& to = idle ? server_->idle_ : server_->busy_;
+  to.splice(to.end(), from, position_);
+  idle_ = idle;
+}
+
+void IncomingConnection::AwaitRequest() {
+  parser_.reset();
+  gone_ = nullptr;
+  if (buffer_.size() > 0) {
+    ReadHeader();
+    return;
+  }
+  if (buffer_.capacity() > kKeptBufferBytes) buffer_ = {};
+  SetIdle(true);
+  SetTimer(server_->limits().idle_timeout, [this] { Close(); });
+  AwaitReadable();
+}
+
+void IncomingConnection::AwaitReadable() {
+  // The wait of the last request's watch may still be pending and serves as well.
+  awaiting_ = true;
+  if (watching_) return;
+  watching_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+    self->watching_ = false;
+    if (error || self->closed_) {
+      self->Close();
+      return;
+    }
+    self->OnWatched();
+  });
+}
+
+void IncomingConnection::Watch() {
+  if (watching_) return;
+  watching_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+    self->watching_ = false;
+    if (self->closed_) return;
+    if (error) {
+      self->Close();
+      return;
+    }
+    self->OnWatched();
+  });
+}
+
+void IncomingConnection::OnWatched() {
+  if (awaiting_) {
+    awaiting_ = false;
+    SetIdle(false);
+    ReadHeader();
+    return;
+  }
+  if (!in_request_) return;
+  char byte = 0;
+  const ssize_t got = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool nothing_yet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  if (nothing_yet) {
+    Watch();
+    return;
+  }
+  // With the first byte of a further request, the end of the connection can no longer be seen.
+  if (got > 0) return;
+  Close();
+}
+
+void IncomingConnection::ReadHeader() {
+  const IncomingLimits limits = server_->limits();
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  parser_->body_limit(limits.max_body_bytes);
+  SetTimer(limits.header_timeout, [this] { Refuse(kRequestTimeout); });
+  beast::http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const ErrorCode& error, std::size_t /*bytes*/) {
+        if (self->closed_ || self->close_after_) return;
+        if (error) {
+          IsParseError(error) ? self->Refuse(StatusOf(error)) : self->Close();
+          return;
+        }
+        self->ReadBody();
+      });
+}
+
+void IncomingConnection::ReadBody() {
+  const auto& message = parser_->get();
+  const auto coding = message.find(beast::http::field::transfer_encoding);
+  if (coding != message.end() && !beast::iequals(coding->value(), "chunked")) {
+    Refuse(kNotImplemented);
+    return;
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return;
+  }
+  const auto expect = message.find(beast::http::field::expect);
+  if (expect != message.end() && beast::iequals(expect->value(), "100-continue")) {
+    Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  SetTimer(server_->limits().idle_timeout, [this] { Refuse(kRequestTimeout); });
+  beast::http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const ErrorCode& error, std::size_t /*bytes*/) {
+        if (self->closed_ || self->close_after_) return;
+        if (error) {
+          IsParseError(error) ? self->Refuse(StatusOf(error)) : self->Close();
+          return;
+        }
+        self->Dispatch();
+      });
+}
+
+void IncomingConnection::Dispatch() {
+  timer_.cancel();
+  ++timer_number_;
+  auto message = parser_->release();
+  RequestHead head;
+  head.method = ToText(message.method_string());
+  head.target = ToText(message.target());
+  for (const auto& field : message) {
+    head.headers.Add(ToText(field.name_string()), ToText(field.value()));
+  }
+  constexpr unsigned kHttp10 = 10;
+  peer_is_http_1_0_ = message.version() <= kHttp10;
+  close_after_ = !message.keep_alive();
+  response_started_ = false;
+  response_ended_ = false;
+  chunked_ = false;
+  in_request_ = true;
+  ++server_->in_flight_;
+  const std::uint64_t number = ++request_number_;
+  auto request =
+      std::make_shared<RequestHandle>(shared_from_this(), number, std::move(head),
+                                      std::move(message.body()), common::BootClock::now());
+  if (buffer_.size() == 0) Watch();
+  server_->Handle(std::move(request));
+}
+
+void IncomingConnection::SetGone(std::function<void()> callback) { gone_ = std::move(callback); }
+
+void IncomingConnection::Respond(ResponseHead head, std::string body) {
+  if (response_started_) return;
+  response_started_ = true;
+  close_after_ = close_after_ || server_->retiring();
+  std::string bytes = SerializeResponse(head, BodyFraming::kLength, body.size(), close_after_);
+  bytes += body;
+  FinishResponse();
+  Send(std::move(bytes));
+}
+
+void IncomingConnection::StartStream(ResponseHead head) {
+  if (response_started_) return;
+  response_started_ = true;
+  chunked_ = !peer_is_http_1_0_;
+  close_after_ = close_after_ || server_->retiring() || !chunked_;
+  Send(SerializeResponse(head, chunked_ ? BodyFraming::kChunked : BodyFraming::kClose, 0,
+                         close_after_));
+}
+
+void IncomingConnection::Write(std::string_view piece) {
+  if (piece.empty()) return;
+  if (!chunked_) {
+    Send(std::string(piece));
+    return;
+  }
+  std::array<char, 16> size{};
+  constexpr int kHexadecimal = 16;
+  const auto end = std::to_chars(size.begin(), size.end(), piece.size(), kHexadecimal).ptr;
+  std::string bytes(size.begin(), end);
+  bytes.append("\r\n").append(piece).append("\r\n");
+  Send(std::move(bytes));
+}
+
+void IncomingConnection::EndStream() {
+  FinishResponse();
+  Send(chunked_ ? "0\r\n\r\n" : "");
+}
+
+void IncomingConnection::FinishResponse() {
+  response_ended_ = true;
+  gone_ = nullptr;
+}
+
+void IncomingConnection::Refuse(std::uint16_t status) {
+  // The rest of the request is not read, so the connection cannot be used again.
+  close_after_ = true;
+  discard_after_ = true;
+  in_request_ = true;
+  ++server_->in_flight_;
+  ++request_number_;
+  response_started_ = false;
+  Respond({.status = status, .reason = {}, .headers = {}}, {});
+}
+
+void IncomingConnection::Send(std::string bytes) {
+  if (closed_) return;
+  buffered_ += bytes.size();
+  output_.push_back(std::move(bytes));
+  Pump();
+}
+
+void IncomingConnection::Pump() {
+  if (writing_ || closed_) return;
+  if (output_.empty()) {
+    if (response_ended_ && in_request_) AfterResponse();
+    return;
+  }
+  writing_ = true;
+  auto batch = std::make_shared<std::string>();
+  for (std::string& piece : output_) batch->append(piece);
+  output_.clear();
+  asio::async_write(socket_, asio::buffer(*batch),
+                    [self = shared_from_this(), batch](const ErrorCode& error, std::size_t) {
+                      self->writing_ = false;
+                      self->buffered_ -= batch->size();
+                      if (error) {
+                        self->Close();
+                        return;
+                      }
+                      self->Pump();
+                    });
+}
+
+void IncomingConnection::AfterResponse() {
+  LeaveRequest();
+  if (discard_after_) {
+    ErrorCode ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+    SetTimer(kLingerTime, [this] { Close(); });
+    Discard();
+    return;
+  }
+  if (close_after_) {
+    ErrorCode ignored;
+    socket_.shutdown(Socket::shutdown_both, ignored);
+    Close();
+    return;
+  }
+  AwaitRequest();
+}
+
+void IncomingConnection::Discard() {
+  constexpr std::size_t kDiscardBytes = 8192;
+  auto bytes = std::make_shared<std::array<char, kDiscardBytes>>();
+  socket_.async_read_some(asio::buffer(*bytes),
+                          [self = shared_from_this(), bytes](const ErrorCode& error, std::size_t) {
+                            error ? self->Close() : self->Discard();
+                          });
+}
+
+std::string IncomingServer::Impl::Listen() {
+  const std::optional<Endpoint> endpoint = ParseEndpoint(options_.listen);
+  if (!endpoint) return "listen address \"" + options_.listen + "\" is not of the form ip:port";
+  ErrorCode error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(*endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return "cannot listen on " + options_.listen + ": " + error.message();
+  port_ = acceptor_.local_endpoint().port();
+  return {};
+}
+
+void IncomingServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](const ErrorCode& error, Socket socket) {
+    if (self->closed_ || !self->acceptor_.is_open()) return;
+    if (error) {
+      self->accept_timer_.expires_after(kAcceptPause);
+      self->accept_timer_.async_wait([self](const ErrorCode& cancelled) {
+        if (!cancelled) self->Accept();
+      });
+      return;
+    }
+    self->Adopt(std::move(socket));
+    self->Accept();
+  });
+}
+
+void IncomingServer::Impl::Adopt(Socket socket) {
+  if (busy_.size() + idle_.size() >= options_.max_connections) {
+    // A peer whose connection closes before its request is read may send it again elsewhere.
+    if (idle_.empty()) return;
+    idle_.front()->Close();
+  }
+  std::make_shared<IncomingConnection>(shared_from_this(), std::move(socket))->Start();
+}
+
+void IncomingServer::Impl::Close() {
+  closed_ = true;
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  while (!busy_.empty()) busy_.front()->Close();
+  while (!idle_.empty()) idle_.front()->Close();
+}
+
+IncomingServer::IncomingServer(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+IncomingServer::~IncomingServer() { impl_->Close(); }
+
+common::Result<std::unique_ptr<IncomingServer>> IncomingServer::Start(EventLoop& loop,
+                                                                      IncomingOptions options,
+                                                                      Handler handler) {
+  using StartResult = common::Result<std::unique_ptr<IncomingServer>>;
+  auto impl = std::make_shared<Impl>(loop, std::move(options), std::move(handler));
+  if (std::string problem = impl->Listen(); !problem.empty()) {
+    return StartResult::Failure(std::move(problem));
+  }
+  impl->Accept();
+  return StartResult::Success(std::unique_ptr<IncomingServer>(new IncomingServer(std::move(impl))));
+}
+
+std::uint16_t IncomingServer::port() const noexcept { return impl_->port_; }
+
+std::size_t IncomingServer::connections() const noexcept {
+  return impl_->busy_.size() + impl_->idle_.size();
+}
+
+std::size_t IncomingServer::in_flight() const noexcept { return impl_->in_flight_; }
+
+void IncomingServer::Retire() { impl_->retiring_ = true; }
+
+void IncomingServer::CloseIdle() {
+  while (!impl_->idle_.empty()) impl_->idle_.front()->Close();
+}
+
+void IncomingServer::StopAccepting() {
+  ErrorCode ignored;
+  impl_->acceptor_.close(ignored);
+}
+
+}  // namespace briarwood::http
--- /dev/null
+++ b/src/http/outgoing.cc
@@ -0,0 +1,311 @@
+#include "briarwood/http/outgoing.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace briarwood::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8192;
+constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
+/// Unacknowledged data and idle connections of a silent server are given up after this time.
+constexpr std::chrono::milliseconds kSilenceLimit{3000};
+/// Idle time after which a connection is not used when the server states no timeout.
+constexpr std::chrono::milliseconds kDefaultIdle{4000};
+/// Part of the server's stated idle timeout that is used: a request that crosses the server's close
+/// may or may not have run.
+constexpr double kUsedIdleShare = 0.6;
+
+std::chrono::milliseconds IdleTimeOf(const ResponseHead& head) {
+  const std::string* value = head.headers.Find("Keep-Alive");
+  if (value == nullptr) return kDefaultIdle;
+  constexpr std::string_view kParameter = "timeout=";
+  const std::size_t start = value->find(kParameter);
+  if (start == std::string::npos) return kDefaultIdle;
+  unsigned seconds = 0;
+  const char* begin = value->data() + start + kParameter.size();
+  if (std::from_chars(begin, value->data() + value->size(), seconds).ec != std::errc()) {
+    return kDefaultIdle;
+  }
+  constexpr double kMillisPerSecond = 1000;
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(seconds * kMillisPerSecond * kUsedIdleShare));
+}
+
+std::string ToText(beast::string_view text) { return {text.data(), text.size()}; }
+
+class Connection : public OutgoingConnection {
+ public:
+  Connection(EventLoop& loop, Endpoint server)
+      : loop_(loop), server_(std::move(server)), socket_(loop), timer_(loop) {}
+
+  void Send(std::string head, std::shared_ptr<const std::string> body,
+            std::chrono::milliseconds connect_limit, OutgoingHandlers handlers) override {
+    idle_closed_ = nullptr;
+    handlers_ = std::move(handlers);
+    head_ = std::move(head);
+    body_ = std::move(body);
+    in_call_ = true;
+    reusable_ = false;
+    response_seen_ = false;
+    written_ = false;
+    bytes_sent_ = 0;
+    sent_at_.reset();
+    ++call_number_;
+    if (connected_) {
+      Write();
+    } else {
+      Connect(connect_limit);
+    }
+  }
+
+  void PauseReading(bool pause) override {
+    if (std::exchange(paused_, pause) && !pause && read_pending_) {
+      read_pending_ = false;
+      ReadBody();
+    }
+  }
+
+  void Close() override {
+    ++call_number_;
+    in_call_ = false;
+    connected_ = false;
+    reusable_ = false;
+    closed_ = true;
+    handlers_ = {};
+    idle_closed_ = nullptr;
+    timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
+
+  [[nodiscard]] bool reusable() const noexcept override { return reusable_ && !closed_; }
+  [[nodiscard]] bool connected() const noexcept override { return connected_; }
+  [[nodiscard]] common::Time usable_until() const noexcept override { return usable_until_; }
+  [[nodiscard]] std::optional<common::Time> sent_at() const noexcept override { return sent_at_; }
+
+  void OnIdleClosed(std::function<void()> callback) override {
+    idle_closed_ = std::move(callback);
+    WatchIdle();
+  }
+
+ private:
+  using Parser = beast::http::response_parser<beast::http::buffer_body>;
+
+  std::shared_ptr<Connection> Self() {
+    return std::static_pointer_cast<Connection>(shared_from_this());
+  }
+  /// \returns true when a completion belongs to the call in progress.
+  [[nodiscard]] bool IsCurrent(std::uint64_t call) const noexcept {
+    return !closed_ && in_call_ && call == call_number_;
+  }
+
+  void Connect(std::chrono::milliseconds limit) {
+    const std::uint64_t call = call_number_;
+    timer_.expires_after(limit);
+    timer_.async_wait([self = Self(), call](const ErrorCode& error) {
+      if (!error && self->IsCurrent(call) && !self->connected_) self->End(CallEnd::kNotSent);
+    });
+    socket_.async_connect(server_, [self = Self(), call](const ErrorCode& error) {
+      if (!self->IsCurrent(call)) return;
+      self->timer_.cancel();
+      if (error) {
+        self->End(CallEnd::kNotSent);
+        return;
+      }
+      LimitSilence(self->socket_, kSilenceLimit);
+      self->connected_ = true;
+      self->Write();
+    });
+  }
+
+  void Write() {
+    const std::uint64_t call = call_number_;
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(head_), body_ ? asio::buffer(*body_) : asio::const_buffer()};
+    sent_at_ = common::BootClock::now();
+    // The response is read while the request is written: a server may answer before it has read
+    // the whole body.
+    asio::async_write(socket_, buffers,
+                      [self = Self(), call](const ErrorCode& error, std::size_t bytes) {
+                        if (!self->IsCurrent(call)) return;
+                        self->bytes_sent_ = bytes;
+                        self->written_ = !error;
+                        if (error && bytes == 0 && !self->response_seen_) {
+                          self->End(CallEnd::kNotSent);
+                          return;
+                        }
+                        if (self->complete_) self->End(CallEnd::kComplete);
+                      });
+    complete_ = false;
+    ReadHeader();
+  }
+
+  void ReadHeader() {
+    const std::uint64_t call = call_number_;
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    // Boost 1.74 refuses every body with a length when there is no limit at all.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    beast::http::async_read_header(socket_, buffer_, *parser_,
+                                   [self = Self(), call](const ErrorCode& error, std::size_t) {
+                                     if (self->IsCurrent(call)) self->OnHeader(error);
+                                   });
+  }
+
+  void OnHeader(const ErrorCode& error) {
+    if (error) {
+      const bool no_byte = !parser_->got_some() && buffer_.size() == 0;
+      const bool ended = error == beast::http::error::end_of_stream || !IsParseError(error);
+      End(ended && no_byte ? CallEnd::kNoResponse : ended ? CallEnd::kCutShort : CallEnd::kInvalid);
+      return;
+    }
+    const auto& message = parser_->get();
+    constexpr unsigned kFirstFinalStatus = 200;
+    constexpr unsigned kSwitchingProtocols = 101;
+    if (message.result_int() < kFirstFinalStatus) {
+      message.result_int() == kSwitchingProtocols ? End(CallEnd::kInvalid) : ReadHeader();
+      return;
+    }
+    response_seen_ = true;
+    ResponseHead head;
+    head.status = static_cast<std::uint16_t>(message.result_int());
+    head.reason = ToText(message.reason());
+    for (const auto& field : message) {
+      head.headers.Add(ToText(field.name_string()), ToText(field.value()));
+    }
+    keep_alive_ = parser_->keep_alive();
+    idle_time_ = IdleTimeOf(head);
+    skipping_ = handlers_.on_head && !handlers_.on_head(head);
+    if (in_call_) ReadBody();
+  }
+
+  void ReadBody() {
+    if (parser_->is_done()) {
+      OnResponseDone();
+      return;
+    }
+    if (paused_) {
+      read_pending_ = true;
+      return;
+    }
+    const std::uint64_t call = call_number_;
+    parser_->get().body().data = chunk_.data();
+    parser_->get().body().size = chunk_.size();
+    beast::http::async_read_some(socket_, buffer_, *parser_,
+                                 [self = Self(), call](const ErrorCode& error, std::size_t) {
+                                   if (self->IsCurrent(call)) self->OnBody(error);
+                                 });
+  }
+
+  void OnBody(ErrorCode error) {
+    const std::uint64_t call = call_number_;
+    const std::size_t got = chunk_.size() - parser_->get().body().size;
+    if (error == beast::http::error::need_buffer) error = {};
+    if (got > 0 && !skipping_ && handlers_.on_data) {
+      handlers_.on_data(std::string_view(chunk_.data(), got));
+    }
+    if (!IsCurrent(call)) return;
+    if (error && !parser_->is_done()) {
+      End(IsParseError(error) ? CallEnd::kInvalid : CallEnd::kCutShort);
+      return;
+    }
+    ReadBody();
+  }
+
+  void OnResponseDone() {
+    if (skipping_) {
+      ReadHeader();
+      return;
+    }
+    complete_ = true;
+    // The rest of the request is still owed to a server that keeps the connection.
+    if (!written_ && keep_alive_) return;
+    End(CallEnd::kComplete);
+  }
+
+  static bool IsParseError(const ErrorCode& error) {
+    return error.category() ==
+               beast::http::make_error_code(beast::http::error::bad_method).category() &&
+           error != beast::http::error::end_of_stream &&
+           error != beast::http::error::partial_message;
+  }
+
+  void End(CallEnd end) {
+    in_call_ = false;
+    ++call_number_;
+    const bool keep = end == CallEnd::kComplete && keep_alive_ && written_ && buffer_.size() == 0;
+    OutgoingHandlers handlers = std::move(handlers_);
+    handlers_ = {};
+    body_.reset();
+    if (keep) {
+      reusable_ = true;
+      usable_until_ = common::BootClock::now() + idle_time_;
+    } else {
+      Close();
+    }
+    if (handlers.on_end) handlers.on_end(end);
+  }
+
+  void WatchIdle() {
+    if (idle_watched_ || closed_) return;
+    idle_watched_ = true;
+    socket_.async_wait(Socket::wait_read, [self = Self()](const ErrorCode& /*error*/) {
+      self->idle_watched_ = false;
+      // The wait also ends with the first byte of the next call's response.
+      if (self->closed_ || self->in_call_) return;
+      if (auto callback = std::exchange(self->idle_closed_, nullptr)) callback();
+    });
+  }
+
+  EventLoop& loop_;
+  Endpoint server_;
+  Socket socket_;
+  Timer timer_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::array<char, kReadBytes> chunk_{};
+  std::string head_;
+  std::shared_ptr<const std::string> body_;
+  OutgoingHandlers handlers_;
+  std::function<void()> idle_closed_;
+  std::uint64_t call_number_ = 0;
+  std::size_t bytes_sent_ = 0;
+  std::optional<common::Time> sent_at_;
+  std::chrono::milliseconds idle_time_{kDefaultIdle};
+  common::Time usable_until_;
+  bool in_call_ = false;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool reusable_ = false;
+  bool response_seen_ = false;
+  bool written_ = false;
+  bool complete_ = false;
+  bool keep_alive_ = false;
+  bool skipping_ = false;
+  bool paused_ = false;
+  bool read_pending_ = false;
+  bool idle_watched_ = false;
+};
+
+}  // namespace
+
+std::shared_ptr<OutgoingConnection> OutgoingConnection::Create(EventLoop& loop,
+                                                               const Endpoint& server) {
+  return std::make_shared<Connection>(loop, server);
+}
+
+}  // namespace briarwood::http
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxErrorBodyBytes = 4096;
 constexpr std::uint16_t kFirstErrorStatus = 300;
 
-common::Time Now() { return std::chrono::steady_clock::now(); }
+common::Time Now() { return common::BootClock::now(); }
 
 microseconds Since(common::Time start) {
   return std::chrono::duration_cast<microseconds>(Now() - start);
--- a/src/observability/log.cc
+++ b/src/observability/log.cc
@@ -1,5 +1,6 @@
 #include "briarwood/observability/log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -42,11 +43,27 @@
   return std::make_shared<log4cxx::PatternLayout>(ToLogString(kTextPattern));
 }
 
+/// Lines that wait for a slow reader of the output; at 200 bytes each they take 0.4 MB.
+constexpr int kQueuedLines = 2048;
+
+/// Writes on a thread of its own, so that no other thread waits for the reader of the output.
+log4cxx::AppenderPtr MakeConsoleAppender(const log4cxx::LayoutPtr& layout,
+                                         const log4cxx::LogString& target) {
+  auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
+  auto queue = std::make_shared<log4cxx::AsyncAppender>();
+  queue->setBufferSize(kQueuedLines);
+  queue->setBlocking(false);
+  queue->addAppender(console);
+  return queue;
+}
+
 log4cxx::AppenderPtr MakeAppender(const LogOptions& options) {
   log4cxx::LayoutPtr layout = MakeLayout(options.format);
+  if (options.file == "-") {
+    return MakeConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemOut());
+  }
   if (options.file.empty()) {
-    return std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                      log4cxx::ConsoleAppender::getSystemErr());
+    return MakeConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr());
   }
   return std::make_shared<log4cxx::FileAppender>(layout, ToLogString(options.file), true);
 }
--- a/src/proposals/usage_reporter.cc
+++ b/src/proposals/usage_reporter.cc
@@ -114,7 +114,7 @@
   *command.mutable_commit_usage()->mutable_batch() = batch;
   command.mutable_commit_usage()->set_now_unix_ms(WallClockMillis());
   const schema::ProposeResponse response =
-      proposer_.Propose(command, std::chrono::steady_clock::now() + kProposalLimit);
+      proposer_.Propose(command, common::BootClock::now() + kProposalLimit);
   return response.status() == schema::ProposeResponse::STATUS_APPLIED &&
          response.result().code() == schema::RESULT_CODE_OK;
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -361,6 +361,10 @@
   if (Server* server = Find(id)) server->breaker.OnFailure(now, random_);
 }
 
+void Placement::OnNoVerdict(const common::BackendServerId& id) {
+  if (Server* server = Find(id)) server->breaker.OnNoVerdict();
+}
+
 void Placement::OnFull(const common::BackendServerId& id, bool alone, common::Time now) {
   Server* server = Find(id);
   if (server == nullptr) return;
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -47,6 +47,28 @@
   }
 }
 
+bool Scheduler::SetClass(const ClassPolicy& policy) {
+  const auto found = class_index_.find(policy.id);
+  if (found != class_index_.end()) {
+    classes_[found->second].policy = policy;
+    return true;
+  }
+  auto place = classes_.end();
+  if (classes_.size() >= kMostClasses) {
+    place = std::find_if(classes_.begin(), classes_.end(), [](const ClassState& state) {
+      return state.queued == 0 && state.running == 0;
+    });
+    if (place == classes_.end()) return false;
+    class_index_.erase(place->policy.id);
+    *place = ClassState{};
+  } else {
+    place = classes_.emplace(classes_.end());
+  }
+  place->policy = policy;
+  class_index_[policy.id] = static_cast<std::uint32_t>(place - classes_.begin());
+  return true;
+}
+
 void Scheduler::SetWeight(const common::CustomerId& customer, double weight) {
   weights_[customer] = weight > 0 ? weight : 1;
   for (ClassState& state : classes_) {
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -84,11 +84,39 @@
                    "all initial members, this one included, unless join is true");
 }
 
+void CheckPlatform(const schema::PlatformSettings& platform, std::string_view table,
+                   Findings& findings) {
+  const RowRef row{table};
+  RequireAddress(platform.address(), row, "address", findings);
+  findings.Require(platform.list_calls_per_second() >= 0, row, "list_calls_per_second",
+                   std::to_string(platform.list_calls_per_second()), "a rate of at least 0");
+  findings.Require(!platform.report_usage() || platform.usage_window_ms() > 0, row,
+                   "usage_window_ms", "0 or no value", "a length, as report_usage is true");
+}
+
+/// A group that forms itself finds its members through the seeds.
+void CheckSeeds(const schema::ControlSettings& settings, Findings& findings) {
+  RequireAddresses(settings.seeds(), "seeds", findings);
+  constexpr std::uint32_t kMostLosses = 4;
+  findings.Require(settings.tolerated_losses() <= kMostLosses, {}, "tolerated_losses",
+                   std::to_string(settings.tolerated_losses()),
+                   "at most " + std::to_string(kMostLosses));
+  OptionalAddress(settings.operator_listen(), {}, "operator_listen", findings);
+  findings.Require(settings.peers().empty(), {}, "peers", "a value",
+                   "no value, as seeds are given");
+  OptionalAddress(settings.admin_listen(), {}, "admin_listen", findings);
+}
+
 void CheckControl(const schema::ControlSettings& settings, Findings& findings) {
   CheckNode(settings.node(), findings);
+  RequireText(settings.data_folder(), {}, "data_folder", "the path of a folder", findings);
+  if (settings.has_platform()) CheckPlatform(settings.platform(), "platform", findings);
+  if (!settings.seeds().empty()) {
+    CheckSeeds(settings, findings);
+    return;
+  }
   findings.Require(settings.member_id() > 0, {}, "member_id", "0 or no value",
                    "an integer of at least 1");
-  RequireText(settings.data_folder(), {}, "data_folder", "the path of a folder", findings);
   RequireAddress(settings.admin_listen(), {}, "admin_listen", findings);
   if (settings.has_admin_tls()) CheckTls(settings.admin_tls(), "admin_tls", findings);
   findings.Require(settings.platform_url().empty() || impl::IsIpUrl(settings.platform_url()), {},
@@ -102,11 +130,23 @@
                    "at least three times heartbeat_ms");
 }
 
+void CheckForwarding(const schema::ForwardingSettings& forwarding, Findings& findings) {
+  const RowRef row{"forwarding"};
+  OptionalAddress(forwarding.ready_listen(), row, "ready_listen", findings);
+  findings.Require(forwarding.repeat_ratio() >= 0 && forwarding.repeat_ratio() <= 1, row,
+                   "repeat_ratio", std::to_string(forwarding.repeat_ratio()),
+                   "a share from 0 to 1");
+  if (forwarding.has_platform()) {
+    CheckPlatform(forwarding.platform(), "forwarding.platform", findings);
+  }
+}
+
 void CheckEntry(const schema::EntrySettings& settings, Findings& findings) {
   CheckNode(settings.node(), findings);
   RequireAddress(settings.listen(), {}, "listen", findings);
   if (settings.has_caller_tls()) CheckTls(settings.caller_tls(), "caller_tls", findings);
   RequireAddresses(settings.control_rpc(), "control_rpc", findings);
+  if (settings.has_forwarding()) CheckForwarding(settings.forwarding(), findings);
   findings.Require(settings.key_freshness_ms() <= kMaxFreshnessMs, {}, "key_freshness_ms",
                    std::to_string(settings.key_freshness_ms()),
                    "at most " + std::to_string(kMaxFreshnessMs));
--- a/tests/agent/agent_node_test.cc
+++ b/tests/agent/agent_node_test.cc
@@ -120,10 +120,10 @@
   drain.mutable_drain_backend()->set_operation_id("drain-1");
   drain.mutable_drain_backend()->set_backend_server("engine-1");
   drain.mutable_drain_backend()->set_draining(true);
-  const auto started = std::chrono::steady_clock::now();
+  const auto started = common::BootClock::now();
   ASSERT_EQ(fleet_.control().Apply(drain).code(), schema::RESULT_CODE_OK);
   EXPECT_TRUE(Eventually([&] { return agent_->Load().leaving(); }));
-  EXPECT_LT(std::chrono::steady_clock::now() - started, std::chrono::seconds(2));
+  EXPECT_LT(common::BootClock::now() - started, std::chrono::seconds(2));
   EXPECT_NE(Exchange(RunPost(MakeRun("r1", 0))).find("RUN_ERROR_CODE_LEAVING"), std::string::npos);
 }
 
--- a/tests/control/fake_admin_backend.h
+++ b/tests/control/fake_admin_backend.h
@@ -31,6 +31,8 @@
     read(state_);
   }
 
+  bool ConfirmRead(Milliseconds) override { return confirmable_; }
+
   schema::MemberStatus Status() const override {
     const std::lock_guard lock(mutex_);
     schema::MemberStatus status;
@@ -51,7 +53,7 @@
     entry.identity.set_role(schema::NODE_ROLE_ENTRY);
     entry.index = common::LogIndex(lagging_ ? 0 : index_);
     entry.ready = true;
-    entry.heard_at = std::chrono::steady_clock::now();
+    entry.heard_at = common::BootClock::now();
     return {entry};
   }
 
@@ -79,6 +81,7 @@
   }
 
   void LoseNextAnswer() { lose_next_answer_ = true; }
+  void SetConfirmable(bool confirmable) { confirmable_ = confirmable; }
   void SetLagging(bool lagging) { lagging_ = lagging; }
   void RestoreFromSnapshot() {
     const std::lock_guard lock(mutex_);
@@ -96,6 +99,7 @@
   schema::Membership membership_;
   bool lose_next_answer_ = false;
   bool lagging_ = false;
+  bool confirmable_ = true;
 };
 
 }  // namespace briarwood::control::testing_support
--- a/tests/distribution/sync_client_test.cc
+++ b/tests/distribution/sync_client_test.cc
@@ -45,8 +45,7 @@
       return table_.DeltaSince(since, filter);
     };
     source.confirmation = [age] {
-      return Confirmation{.confirmed_at = std::chrono::steady_clock::now() - age,
-                          .fence = common::Term(3)};
+      return Confirmation{.confirmed_at = common::BootClock::now() - age, .fence = common::Term(3)};
     };
     return source;
   }
--- a/tests/entry/golden_session_test.cc
+++ b/tests/entry/golden_session_test.cc
@@ -114,10 +114,10 @@
   const std::string request = MakePost("/v1/completions", kStreamed);
   RawCall call(entry.port(), request);
   ASSERT_TRUE(call.WaitFor("t1 "));
-  const auto withdrawn_at = std::chrono::steady_clock::now();
+  const auto withdrawn_at = common::BootClock::now();
   fleet_.Withdraw(kKey);
   session.Call("completion", request, call.Finish());
-  EXPECT_LT(std::chrono::steady_clock::now() - withdrawn_at, std::chrono::seconds(2));
+  EXPECT_LT(common::BootClock::now() - withdrawn_at, std::chrono::seconds(2));
   Record(session, "next request", entry, request);
   // The engine is told to stop.
   EXPECT_TRUE(Eventually([&] { return engine.received().size() == 2; }));
--- a/tests/settings/configuration_test.cc
+++ b/tests/settings/configuration_test.cc
@@ -45,7 +45,7 @@
                   "0 to 9223372036854775807",
                   "a.toml:4: customers[0]: found unknown key \"colour\", expected one of id, "
                   "weight, requests_per_minute, tokens_per_minute, max_concurrency, "
-                  "default_class, allowed_classes",
+                  "default_class, allowed_classes, key_sha256, tier",
                   "a.toml:8: classes[0].tier: found 5000000000, expected an integer from 0 to "
                   "4294967295",
                   "a.toml:9: classes[0].first_token_target_ms: found \"fast\", expected an integer "
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -55,7 +55,7 @@
   /// Freezes the time of the last confirmation, as on a member that a partition isolates.
   void Isolate() {
     const std::lock_guard lock(mutex_);
-    isolated_at_ = std::chrono::steady_clock::now();
+    isolated_at_ = common::BootClock::now();
   }
 
   [[nodiscard]] std::vector<schema::Command> commands() const {
@@ -74,7 +74,7 @@
     };
     source.confirmation = [this] {
       const std::lock_guard lock(mutex_);
-      const common::Time now = std::chrono::steady_clock::now();
+      const common::Time now = common::BootClock::now();
       return distribution::Confirmation{
           .confirmed_at = isolated_at_ == common::Time{} ? now : isolated_at_,
           .fence = common::Term(3),
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -22,9 +22,9 @@
 
 /// Waits until `done`. \returns false after 20 s
 [[nodiscard]] inline bool Eventually(const std::function<bool()>& done) {
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  const auto end = common::BootClock::now() + std::chrono::seconds(20);
   while (!done()) {
-    if (std::chrono::steady_clock::now() > end) return false;
+    if (common::BootClock::now() > end) return false;
     std::this_thread::sleep_for(std::chrono::milliseconds(2));
   }
   return true;
