Hold requests until the first configuration; refuse new ones late in a planned stop

After a restart of all VMs callers were refused for 1.2 s although most come back only once. Ruled out: longer use of the grace alone, as streams may last 15 s.

A restarted entry also waits for a state that a majority has confirmed.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -33,6 +33,13 @@
 /// Callers that are refused come back after this; longer when the queue is long.
 constexpr milliseconds kRetryPause{300};
 constexpr milliseconds kRetryPauseWithoutConfiguration{500};
+/// An entry that has just started knows its configuration within a second or two. A caller that
+/// waits is served; most callers that are refused come back once, and too soon.
+constexpr milliseconds kLongestHold{2000};
+/// Part of its time that a request waits for the configuration.
+constexpr double kHeldShare = 0.5;
+/// Another entry takes the request at once.
+constexpr milliseconds kRetryPauseOfStop{10};
 
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
@@ -100,8 +107,12 @@
 }
 
 bool Exchange::Admit() {
+  if (owner_.refusing_) {
+    Answer(kUnavailable, "stopping", kRetryPauseOfStop);
+    return false;
+  }
   if (!table_ || !table_->known()) {
-    Answer(kUnavailable, "no_configuration", kRetryPauseWithoutConfiguration);
+    Hold();
     return false;
   }
   const std::string* host = request_->head().headers.Find("Host");
@@ -127,6 +138,26 @@
   return true;
 }
 
+void Exchange::Hold() {
+  const auto wait = facts_.time_left
+                        ? std::chrono::duration_cast<milliseconds>(*facts_.time_left * kHeldShare)
+                        : kLongestHold;
+  if (!owner_.MayHold() || wait <= milliseconds(0)) {
+    Answer(kUnavailable, "no_configuration", kRetryPauseWithoutConfiguration);
+    return;
+  }
+  state_ = State::kHeld;
+  held_until_ = request_->arrived_at() + std::min(wait, kLongestHold);
+  owner_.held_.insert(number_);
+}
+
+void Exchange::OnConfiguration() {
+  if (state_ != State::kHeld) return;
+  state_ = State::kQueued;
+  table_ = owner_.table_;
+  if (Admit()) Queue();
+}
+
 routing::ClassPolicy Exchange::Policy() const {
   routing::ClassPolicy policy;
   policy.id = common::ClassId(
@@ -486,6 +517,10 @@
 }
 
 void Exchange::CheckTime(common::Time now) {
+  if (state_ == State::kHeld && now >= held_until_) {
+    Answer(kUnavailable, "no_configuration", kRetryPauseWithoutConfiguration);
+    return;
+  }
   if (state_ != State::kRunning || !attempt_) return;
   if (request_->buffered_bytes() <= kMostBuffered) attempt_->connection->PauseReading(false);
   if (now < deadline_ + kDeadlineSlack) return;
@@ -546,6 +581,7 @@
     state.exchanges.erase(id());
     boost::asio::post(owner_.loop_, [&owner = owner_, service = service_] { owner.Pump(service); });
   }
+  owner_.held_.erase(number_);
   owner_.exchanges_.erase(number_);
 }
 
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -21,6 +21,8 @@
 /// not know of each other yet do not reach its limit.
 constexpr double kConnectionShare = 0.8;
 constexpr std::uint32_t kLeastConnections = 4;
+/// Requests that wait for the first configuration; with bodies of 20 KB they take 10 MB.
+constexpr std::size_t kMostHeld = 512;
 
 routing::Scheduler MakeScheduler() {
   routing::SchedulerOptions options;
@@ -55,8 +57,17 @@
                 .Add("routes", table_->configuration().routes.size())
                 .Add("customers", table_->configuration().customers.size())
                 .text());
+  if (!table_->known()) return;
+  for (const std::uint64_t number : std::exchange(held_, {})) {
+    const auto found = exchanges_.find(number);
+    if (found == exchanges_.end()) continue;
+    const std::shared_ptr<Exchange> exchange = found->second;
+    exchange->OnConfiguration();
+  }
 }
 
+bool Forwarder::MayHold() const noexcept { return held_.size() < kMostHeld; }
+
 void Forwarder::SetBackends(const schema::BackendList& list, common::Time read_at) {
   if (list_read_at_ && read_at <= *list_read_at_) return;
   list_read_at_ = read_at;
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -161,7 +161,12 @@
     while (common::BootClock::now() < end) {
       std::this_thread::sleep_for(kDrainPoll);
       if (common::BootClock::now() - started < kLeaveRotation) continue;
-      boost::asio::post(loop_, [this] { server_->CloseIdle(); });
+      // A request that is taken later may not end within the grace.
+      boost::asio::post(loop_, [this] {
+        server_->StopAccepting();
+        server_->CloseIdle();
+        forwarder_.RefuseNew();
+      });
       if (InFlight() == 0) {
         idle = true;
         break;
@@ -269,8 +274,12 @@
 
   [[nodiscard]] std::size_t InFlight() const noexcept { return in_flight_; }
 
-  /// Runs on the thread that applies answers, so the tables belong to one index.
+  /// Runs on the thread that applies answers, so the tables belong to one index. A process that has
+  /// just started uses no state before a majority has confirmed it: the state of a member that has
+  /// just started as well may be out of date.
   void OnRows() {
+    if (!replica_.freshness()) return;
+    has_table_ = true;
     auto table = std::make_shared<const routing::ForwardTable>(
         routing::ForwardConfiguration{.routes = replica_.ForwardRoutes(),
                                       .services = replica_.Services(),
@@ -328,6 +337,7 @@
 
   void OnResponse(const schema::SyncResponse& response, common::Time sent_at) {
     const common::Time now = common::BootClock::now();
+    if (!has_table_) OnRows();
     if (lost_control_.exchange(false)) {
       log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
     }
@@ -440,6 +450,8 @@
   std::uint16_t ready_port_ = 0;
   std::uint16_t rpc_port_ = 0;
   common::Time last_usage_;
+  /// Used on the thread that applies answers.
+  bool has_table_ = false;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
   std::atomic<bool> lost_control_ = false;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -24,11 +24,13 @@
   void OnPlaced(const routing::Dispatch& dispatch);
   /// The scheduler has dropped the request.
   void OnDropped(routing::DropReason reason);
+  /// The first configuration is in force.
+  void OnConfiguration();
   /// Ends what has run out of time.
   void CheckTime(common::Time now);
 
  private:
-  enum class State : std::uint8_t { kQueued, kRunning, kEnded };
+  enum class State : std::uint8_t { kHeld, kQueued, kRunning, kEnded };
 
   /// What is known of one send to a backend server.
   struct Attempt {
@@ -45,7 +47,9 @@
     bool began = false;
   };
 
-  /// \returns the route when the request may go on; otherwise it has been answered.
+  /// Waits for the first configuration, or refuses.
+  void Hold();
+  /// \returns true when the request may be queued; otherwise it waits or has been answered.
   bool Admit();
   void Queue();
   [[nodiscard]] routing::ClassPolicy Policy() const;
@@ -86,6 +90,7 @@
   common::CustomerId customer_;
   common::Tier tier_;
   common::Time deadline_;
+  common::Time held_until_;
   State state_ = State::kQueued;
   std::optional<Attempt> attempt_;
   std::uint64_t attempt_number_ = 0;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,6 +53,9 @@
   void ConfirmBackends(common::Time read_at);
   void SetEntryCount(std::uint32_t entries);
 
+  /// From now on new requests are refused as not run; those that have begun go on.
+  void RefuseNew() noexcept { refusing_ = true; }
+
   void Handle(std::shared_ptr<http::IncomingRequest> request);
   /// Dispatches what waits, and drops what is too late; call it every 10 ms or so.
   void Tick(common::Time now);
@@ -63,6 +67,8 @@
  private:
   friend class Exchange;
 
+  /// Requests that wait for the first configuration.
+  [[nodiscard]] bool MayHold() const noexcept;
   /// Queue and backend servers of one service.
   struct ServiceState {
     routing::Scheduler scheduler;
@@ -96,6 +102,9 @@
   std::map<std::string, ServiceState> services_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_exchange_ = 1;
+  bool refusing_ = false;
+  /// Requests that wait for the first configuration, by number.
+  std::set<std::uint64_t> held_;
 };
 
 }  // namespace briarwood::forwarding::impl
