Shorten recovery after a restart of all VMs

Cause: after a restart entries waited for a regular sync (500 ms) and members for a regular confirmation (250 ms) although a leader was there after 0.4 s. Usage counts lay up to 1 s in an entry.

--- a/src/control/replicated_node.cc
+++ b/src/control/replicated_node.cc
@@ -1,5 +1,6 @@
 #include "briarwood/control/replicated_node.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -22,6 +23,7 @@
 /// Ticks per heartbeat; a finer tick gives elections no better timing than the heartbeat itself.
 constexpr int kTicksPerHeartbeat = 5;
 constexpr milliseconds kConfirmTimeout{1000};
+constexpr milliseconds kFirstConfirmationPeriod{30};
 
 schema::ProposeResponse ResponseOf(schema::ProposeResponse::Status status) {
   schema::ProposeResponse response;
@@ -338,9 +340,14 @@
 
 void ReplicatedNode::Impl::RunConfirmations() {
   while (true) {
-    const Time next = TimerService::Now() + options_.confirmation_period;
+    const Time started = TimerService::Now();
     ConfirmOnce();
     std::unique_lock lock(mutex_);
+    // Nothing can be served from this member before the first confirmation.
+    const Time next = started + (confirmation_ ? options_.confirmation_period
+                                               : std::min<common::Duration>(
+                                                     kFirstConfirmationPeriod,
+                                                     options_.confirmation_period));
     stop_changed_.wait_until(lock, next, [this] { return stopping_; });
     if (stopping_) return;
   }
--- a/src/distribution/sync_client.cc
+++ b/src/distribution/sync_client.cc
@@ -1,5 +1,6 @@
 #include "briarwood/distribution/sync_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "briarwood/rpc/error.h"
@@ -63,7 +64,9 @@
     lock.unlock();
     SyncRound();
     lock.lock();
-    changed_.wait_for(lock, options_.period, [this] { return wanted_ || stopping_; });
+    const auto period = replica_.freshness() ? options_.period
+                                             : std::min(options_.first_period, options_.period);
+    changed_.wait_for(lock, period, [this] { return wanted_ || stopping_; });
   }
 }
 
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -31,7 +31,8 @@
 namespace {
 
 constexpr milliseconds kTickPeriod{10};
-constexpr milliseconds kUsagePeriod{500};
+/// Counts that are not handed in are lost when the entry dies.
+constexpr milliseconds kUsagePeriod{120};
 constexpr milliseconds kListPoll{250};
 /// Pause after the platform refused or failed a reading of its list.
 constexpr milliseconds kListPause{1000};
@@ -411,7 +412,7 @@
   }
 
   void RunList() {
-    milliseconds pause = kListPoll;
+    milliseconds pause{0};
     while (!WaitForStop(pause)) {
       pause = kListPoll;
       const common::Time asked_at = common::BootClock::now();
