Test the forwarding entry against callers and backend servers on plain sockets; breakers

Ruled out: capacity (30 calls/s of 60 ms on 18 slots).

An error with a receipt is no verdict on the server now, breakers pause 0.3 to 2 s, and a pool whose breakers are all open is used all the same.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -77,6 +77,10 @@
   double bounded_load = 1.25;
   /// Share of each server's capacity that only the top tier fills.
   double headroom = 0.125;
+  CircuitBreakerOptions breaker;
+  /// Uses servers whose breaker is open when no other server of the pool is left; a refusal would
+  /// be worse than another failure.
+  bool ignore_breakers_if_all_open = false;
   PlacementFeatures features;
 };
 
@@ -195,6 +199,10 @@
   [[nodiscard]] double OthersAt(const Server& server, double prior, common::Time now) const;
   [[nodiscard]] bool IsUsable(const Server& server, const PlacementRequest& request,
                               common::Time now) const;
+  /// True when every usable server of the pool has an open breaker.
+  [[nodiscard]] bool AllBreakersOpen(const Pool& pool, common::Time now) const;
+  [[nodiscard]] std::optional<PlacementChoice> PickFrom(Pool& pool, const PlacementRequest& request,
+                                                        common::Time now);
   [[nodiscard]] Fit FitOf(const Server& server, const PlacementRequest& request,
                           common::Time now) const;
   [[nodiscard]] std::optional<PlacementChoice> PickForTrial(const Pool& pool,
@@ -216,6 +224,8 @@
   std::map<Capability, Pool> pools_;
   std::unordered_map<std::string, PeerComparison> peers_;
   std::optional<common::Time> refreshed_at_;
+  /// Set during a pick from a pool whose breakers are all open.
+  bool ignoring_breakers_ = false;
   /// Mean of `others` over the servers; old samples fade to it.
   double mean_others_ = 0;
 };
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -377,7 +377,7 @@
   if (IsServerError(status) && repeatable()) {
     const http::ResponseHead head = attempt_->head;
     const std::string body = attempt_->body;
-    ReleaseAttempt(Verdict::kFailure);
+    ReleaseAttempt(Verdict::kSuccess);
     if (TryAgain(/*ran=*/true)) return;
     attempt_.emplace();
     attempt_->head = head;
@@ -397,7 +397,9 @@
   }
   http::RemoveConnectionFields(head.headers);
   request_->Respond(std::move(head), std::move(attempt_->body));
-  ReleaseAttempt(IsServerError(status) ? Verdict::kFailure : Verdict::kSuccess);
+  // An error that the backend server answers by itself is the application's; it says nothing about
+  // whether the backend server works.
+  ReleaseAttempt(Verdict::kSuccess);
   End("answered", status, "");
 }
 
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -24,6 +24,17 @@
 /// Requests that wait for the first configuration; with bodies of 20 KB they take 10 MB.
 constexpr std::size_t kMostHeld = 512;
 
+routing::PlacementOptions MakePlacementOptions(const ForwarderOptions& options) {
+  routing::PlacementOptions placement;
+  placement.near_domain = options.failure_domain;
+  placement.seed = options.seed;
+  // A backend server that crashed is back within seconds, and its address is refused until then.
+  placement.breaker.first_pause = std::chrono::milliseconds(300);
+  placement.breaker.longest_pause = std::chrono::seconds(2);
+  placement.ignore_breakers_if_all_open = true;
+  return placement;
+}
+
 routing::Scheduler MakeScheduler() {
   routing::SchedulerOptions options;
   options.total_queue_limit = kQueueLimit;
@@ -40,7 +51,7 @@
       options_(std::move(options)),
       metrics_(metrics),
       random_(options_.seed),
-      placement_({.near_domain = options_.failure_domain, .seed = options_.seed}),
+      placement_(MakePlacementOptions(options_)),
       repeats_(options_.repeats),
       pool_(loop) {}
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -54,6 +54,7 @@
   for (const BackendDescription& description : backends) {
     Server* known = Find(description.id);
     Server& server = servers.emplace_back(known != nullptr ? std::move(*known) : Server{});
+    if (known == nullptr) server.breaker = CircuitBreaker(options_.breaker);
     if (known == nullptr || server.description.max_concurrency != description.max_concurrency) {
       server.capacity = std::max(description.max_concurrency, 1U);
     }
@@ -223,7 +224,9 @@
 bool Placement::IsUsable(const Server& server, const PlacementRequest& request,
                          common::Time now) const {
   if (server.draining || server.leaving || !server.alive || !server.healthy) return false;
-  if (options_.features.breakers && !server.breaker.Allows(now)) return false;
+  if (options_.features.breakers && !ignoring_breakers_ && !server.breaker.Allows(now)) {
+    return false;
+  }
   return request.avoid.value().empty() || server.description.id != request.avoid;
 }
 
@@ -311,9 +314,30 @@
   return best;
 }
 
+bool Placement::AllBreakersOpen(const Pool& pool, common::Time now) const {
+  bool any_open = false;
+  for (const std::uint32_t member : pool.members) {
+    const Server& server = servers_[member];
+    if (server.draining || server.leaving || !server.alive || !server.healthy) continue;
+    if (server.breaker.Allows(now)) return false;
+    any_open = true;
+  }
+  return any_open;
+}
+
 std::optional<PlacementChoice> Placement::Pick(const PlacementRequest& request, common::Time now) {
   Pool& pool = PoolOf(request.capability);
   if (pool.members.empty()) return std::nullopt;
+  auto choice = PickFrom(pool, request, now);
+  if (choice || !options_.ignore_breakers_if_all_open || !AllBreakersOpen(pool, now)) return choice;
+  ignoring_breakers_ = true;
+  choice = PickFrom(pool, request, now);
+  ignoring_breakers_ = false;
+  return choice;
+}
+
+std::optional<PlacementChoice> Placement::PickFrom(Pool& pool, const PlacementRequest& request,
+                                                   common::Time now) {
   if (request.alone) return PickForTrial(pool, request, now);
   const auto choice = [this](std::uint32_t member, bool preempts) {
     return PlacementChoice{.id = servers_[member].description.id, .expects_preemption = preempts};
--- /dev/null
+++ b/tests/forwarding/forwarding_fixture.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "briarwood/distribution/backend_list.h"
+#include "briarwood/forwarding/forwarding_node.h"
+#include "platform/codec.h"
+#include "platform/configuration_json.h"
+#include "support/raw_call.h"
+#include "support/raw_server.h"
+#include "support/test_control.h"
+
+namespace briarwood::forwarding {
+
+using testing_support::RawCall;
+using testing_support::RawServer;
+
+inline constexpr const char* kKey = "key-of-east";
+inline constexpr const char* kOk = "HTTP/1.1 200 OK\r\nBriarwood-Signature: s\r\n";
+
+/// Waits until `done` holds; \returns false after 10 s.
+inline bool Eventually(const std::function<bool()>& done) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+/// Backend server on plain sockets that keeps what it received.
+class FakeBackend {
+ public:
+  using Handler = std::function<void(const RawServer::Connection&, const RawServer::Request&)>;
+
+  explicit FakeBackend(Handler handler)
+      : server_([this, handler = std::move(handler)](const RawServer::Connection& connection,
+                                                     const RawServer::Request& request) {
+          {
+            const std::lock_guard lock(mutex_);
+            requests_.push_back(request);
+          }
+          handler(connection, request);
+        }) {}
+
+  [[nodiscard]] std::string address() const { return server_.address(); }
+  void Crash() { server_.Crash(); }
+  [[nodiscard]] std::vector<RawServer::Request> requests() const {
+    const std::lock_guard lock(mutex_);
+    return requests_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<RawServer::Request> requests_;
+  RawServer server_;
+};
+
+inline std::string HeaderOf(const std::string& head, const std::string& name) {
+  const std::size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  const std::size_t start = at + name.size() + 4;
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+/// Answers with a receipt and the id of the request.
+inline std::string Answer(const RawServer::Request& request, const std::string& body,
+                          const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nBriarwood-Attempt-Id: " +
+         HeaderOf(request.head, "Briarwood-Attempt-Id") +
+         "\r\nBriarwood-Signature: sig-1\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+inline std::string StreamHead(const RawServer::Request& request) {
+  return "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: " +
+         HeaderOf(request.head, "Briarwood-Attempt-Id") +
+         "\r\nBriarwood-Signature: sig-1\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string Chunk(const std::string& text) {
+  std::ostringstream out;
+  out << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return out.str();
+}
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+}
+
+/// One forwarding entry between callers on plain sockets and backend servers on plain sockets.
+class ForwardingTest : public ::testing::Test {
+ protected:
+  /// Starts the entry; backend servers are listed with service "app" for names that start with "a"
+  /// and "llm" otherwise.
+  void StartEntry() {
+    ForwardingNodeOptions options;
+    schema::EntrySettings& settings = options.settings;
+    settings.mutable_node()->set_id("entry/vm-1");
+    settings.mutable_node()->set_failure_domain("east");
+    settings.mutable_node()->set_rpc_listen("127.0.0.1:0");
+    settings.set_listen("127.0.0.1:0");
+    settings.add_control_rpc(control_.address());
+    settings.mutable_forwarding()->set_ready_listen("127.0.0.1:0");
+    settings.mutable_forwarding()->set_usage_window_ms(5000);
+    settings.mutable_forwarding()->set_repeat_burst(640);
+    settings.mutable_forwarding()->set_list_stale_ms(50);
+    options.credential = testing_support::kFleetCredential;
+    options.incarnation = common::Incarnation(7);
+    options.codec = platform::MakeCodec();
+    options.read_backends = [this] {
+      const std::lock_guard lock(list_mutex_);
+      schema::BackendList list = list_;
+      distribution::SetDigest(list);
+      return common::Result<schema::BackendList>::Success(std::move(list));
+    };
+    auto node = ForwardingNode::Start(std::move(options));
+    ASSERT_TRUE(node.ok()) << node.error();
+    node_ = std::move(node).value();
+  }
+
+  void StartReadyEntry() {
+    Configure();
+    StartEntry();
+    ASSERT_TRUE(Eventually([this] { return node_->Ready(); }));
+  }
+
+  void StartReadyEntryWithOneBackend() {
+    only_ = std::make_unique<FakeBackend>([](const auto& connection, const auto& request) {
+      connection.Send(Answer(request, "ok"));
+    });
+    List("a-1", only_->address());
+    StartReadyEntry();
+  }
+
+  void List(const std::string& id, const std::string& address, bool leaving = false) {
+    const std::lock_guard lock(list_mutex_);
+    for (schema::ListedBackend& backend : *list_.mutable_backends()) {
+      if (backend.id() != id) continue;
+      backend.set_address(address);
+      backend.set_leaving(leaving);
+      return;
+    }
+    schema::ListedBackend& backend = *list_.add_backends();
+    backend.set_id(id);
+    backend.set_service(id.starts_with('a') ? "app" : "llm");
+    backend.set_address(address);
+    backend.set_failure_domain("east");
+    backend.set_slots(8);
+    backend.set_leaving(leaving);
+  }
+
+  static std::string Document(std::uint64_t version, const std::string& key) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+      {"name":"read","host":"h.example","pathPrefix":"/read/","type":"safe","timeoutMs":1500,
+       "sloMs":500,"priority":2,"service":"app","attempts":2},
+      {"name":"book","host":"h.example","pathPrefix":"/book/","type":"unsafe","timeoutMs":1500,
+       "sloMs":500,"priority":2,"service":"app","attempts":2},
+      {"name":"draft","host":"h.example","pathPrefix":"/draft/","type":"streaming",
+       "timeoutMs":5000,"sloMs":800,"priority":0,"service":"llm","attempts":2,"resumable":true,
+       "affinity":true,"itlTargetMs":200},
+      {"name":"ask","host":"h.example","pathPrefix":"/ask/","type":"streaming","timeoutMs":5000,
+       "sloMs":800,"priority":1,"service":"llm","attempts":1,"affinity":true,"itlTargetMs":200},
+      {"name":"open","host":"h.example","pathPrefix":"/open/","type":"safe","timeoutMs":1500,
+       "sloMs":500,"priority":2,"service":"app","attempts":1,"public":true}],
+      "services":[{"name":"app","healthPath":"/healthz","maxConns":100},
+                  {"name":"llm","healthPath":"/healthz","maxConns":100}],
+      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":20000,"headerTimeoutMs":1000,
+                "idleTimeoutMs":3000},
+      "tenants":[{"name":"east","apiKeys":[")" + key + R"("]}]})";
+  }
+
+  void Configure(std::uint64_t version = 1, const std::string& key = kKey) {
+    schema::Command command;
+    command.mutable_apply_configuration()->set_document("platform");
+    command.mutable_apply_configuration()->set_version(version);
+    command.mutable_apply_configuration()->set_content(Document(version, key));
+    ASSERT_EQ(control_.Apply(command).code(), schema::RESULT_CODE_OK);
+  }
+
+  static std::string Request(const std::string& line, const std::string& headers = "",
+                             const std::string& body = "", const std::string& key = kKey) {
+    std::string text = line + " HTTP/1.1\r\nHost: h.example\r\nBriarwood-Attempt-Id: id-1\r\n";
+    if (!key.empty()) text += "Authorization: Bearer " + key + "\r\n";
+    text += headers + "Connection: close\r\n";
+    if (!body.empty()) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + body;
+  }
+
+  std::string Call(const std::string& line, const std::string& headers = "",
+                   const std::string& body = "", const std::string& key = kKey) {
+    return RawCall(node_->port(), Request(line, headers, body, key)).Finish();
+  }
+
+  testing_support::TestControl control_{platform::MakeParser(schema::PlatformSettings())};
+  std::mutex list_mutex_;
+  schema::BackendList list_;
+  std::unique_ptr<FakeBackend> only_;
+  std::unique_ptr<ForwardingNode> node_;
+};
+
+}  // namespace briarwood::forwarding
--- /dev/null
+++ b/tests/forwarding/forwarding_test.cc
@@ -0,0 +1,338 @@
+#include <gmock/gmock.h>
+
+#include "forwarding_fixture.h"
+
+namespace briarwood::forwarding {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+
+// Guards against a router that alters what it forwards, lets a caller set the router's own fields,
+// or shows a key to a backend server.
+TEST_F(ForwardingTest, ForwardsTheRequestUnchangedWithoutTheKey) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "done"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const std::string response =
+      Call("POST /read/x%20y?q=1&r=%2F",
+           "X-Own: v\r\nBriarwood-Tenant: forged\r\nBriarwood-Hold: h\r\nKv-From: k\r\n"
+           "Briarwood-Deadline-Ms: 900\r\n",
+           "a body");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 200 OK"));
+  EXPECT_THAT(response, HasSubstr("Briarwood-Signature: sig-1"));
+  EXPECT_THAT(response, HasSubstr("\r\n\r\ndone"));
+  ASSERT_EQ(backend.requests().size(), 1U);
+  const RawServer::Request sent = backend.requests().front();
+  EXPECT_THAT(sent.head, StartsWith("POST /read/x%20y?q=1&r=%2F HTTP/1.1\r\n"));
+  EXPECT_EQ(sent.body, "a body");
+  EXPECT_EQ(HeaderOf(sent.head, "X-Own"), "v");
+  EXPECT_EQ(HeaderOf(sent.head, "Briarwood-Tenant"), "east");
+  EXPECT_EQ(HeaderOf(sent.head, "Briarwood-Expect-Instance"), "a-1");
+  EXPECT_EQ(HeaderOf(sent.head, "Briarwood-Attempt-Id"), "id-1");
+  EXPECT_LE(std::stoi(HeaderOf(sent.head, "Briarwood-Deadline-Ms")), 900);
+  EXPECT_THAT(sent.head, Not(HasSubstr(kKey)));
+  EXPECT_THAT(sent.head, Not(HasSubstr("forged")));
+  EXPECT_THAT(sent.head, Not(HasSubstr("Hold")));
+  EXPECT_THAT(sent.head, Not(HasSubstr("Kv-From")));
+}
+
+// Guards against a body that is lost or framed wrongly when the caller sends it in chunks.
+TEST_F(ForwardingTest, ForwardsAChunkedBodyWhole) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, request.body));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const std::string response = Call(
+      "POST /read/x", "Transfer-Encoding: chunked\r\n");
+  // The terminating chunk is missing, so nothing may have been forwarded.
+  EXPECT_TRUE(backend.requests().empty()) << response;
+  const std::string whole = RawCall(node_->port(),
+                                    "POST /read/x HTTP/1.1\r\nHost: h.example\r\n"
+                                    "Briarwood-Attempt-Id: id-1\r\nAuthorization: Bearer " +
+                                        std::string(kKey) +
+                                        "\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+                                .Finish();
+  EXPECT_THAT(whole, HasSubstr("\r\n\r\nhello world"));
+}
+
+// Guards against a request smuggled inside another one by contradicting lengths.
+TEST_F(ForwardingTest, RefusesContradictingLengths) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "x"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  for (const char* framing :
+       {"Content-Length: -5\r\n", "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n"}) {
+    const std::string response = Call("POST /read/x", framing);
+    EXPECT_THAT(response, testing::AnyOf(StartsWith("HTTP/1.1 400"), StartsWith("HTTP/1.1 501")))
+        << framing;
+  }
+  EXPECT_TRUE(backend.requests().empty());
+}
+
+// Guards against headers and bodies without a bound, and against answers that a reset destroys.
+TEST_F(ForwardingTest, RefusesHeadersAndBodiesBeyondTheLimits) {
+  StartReadyEntryWithOneBackend();
+  EXPECT_THAT(Call("GET /read/x", "X-Long: " + std::string(5000, 'x') + "\r\n"),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_THAT(Call("POST /read/x", "", std::string(30'000, 'x')), StartsWith("HTTP/1.1 413"));
+}
+
+// Guards against wrong answers for unknown places and keys.
+TEST_F(ForwardingTest, AnswersUnknownRoutesAndKeys) {
+  StartReadyEntryWithOneBackend();
+  EXPECT_THAT(Call("GET /nowhere/x"), StartsWith("HTTP/1.1 404"));
+  EXPECT_THAT(Call("GET /read/x", "", "", "unknown"), StartsWith("HTTP/1.1 401"));
+  EXPECT_THAT(Call("GET /read/x", "", "", ""), StartsWith("HTTP/1.1 401"));
+  EXPECT_THAT(Call("GET /open/x", "", "", ""), StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against a withdrawn key that goes on working.
+TEST_F(ForwardingTest, RefusesAKeyOnceItIsWithdrawn) {
+  StartReadyEntryWithOneBackend();
+  EXPECT_THAT(Call("GET /read/x"), StartsWith("HTTP/1.1 200"));
+  Configure(2, "another-key");
+  EXPECT_TRUE(Eventually(
+      [this] { return Call("GET /read/x").starts_with("HTTP/1.1 401"); }));
+  EXPECT_THAT(Call("GET /read/x", "", "", "another-key"), StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against refusals while an entry starts: most callers come back only once.
+TEST_F(ForwardingTest, HoldsRequestsUntilTheFirstConfiguration) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "served"));
+  });
+  List("a-1", backend.address());
+  StartEntry();
+  RawCall call(node_->port(), Request("GET /read/x", "Briarwood-Deadline-Ms: 8000\r\n"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_FALSE(node_->Ready());
+  Configure();
+  EXPECT_THAT(call.Finish(), HasSubstr("served"));
+}
+
+// Guards against 401 or 404 from an entry that knows no configuration, which a caller takes for
+// final.
+TEST_F(ForwardingTest, AnswersUnavailableWithoutAConfiguration) {
+  StartEntry();
+  const std::string response = Call("GET /read/x", "Briarwood-Deadline-Ms: 200\r\n");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(response, HasSubstr("Retry-After: 0."));
+}
+
+// Guards against a second run of a call that may not be repeated: a backend server that dies after
+// it has read the request may have run it.
+TEST_F(ForwardingTest, SendsACallThatMayRunOnceOnlyOnce) {
+  FakeBackend first([](const auto& connection, const auto&) { connection.Close(); });
+  FakeBackend second([](const auto& connection, const auto&) { connection.Close(); });
+  List("a-1", first.address());
+  List("a-2", second.address());
+  StartReadyEntry();
+  EXPECT_THAT(Call("POST /book/x", "", "slot 4"), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
+// Guards against giving up a call that certainly has not run.
+TEST_F(ForwardingTest, SendsARejectedCallToAnotherBackend) {
+  const auto reject = [](const auto& connection, const auto& request) {
+    connection.Send("HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " +
+                    HeaderOf(request.head, "Briarwood-Attempt-Id") +
+                    "\r\nContent-Length: 0\r\n\r\n");
+  };
+  FakeBackend full(reject);
+  FakeBackend free([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "booked"));
+  });
+  List("a-1", full.address());
+  List("a-2", free.address());
+  StartReadyEntry();
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_THAT(Call("POST /book/x", "", "slot 4"), HasSubstr("booked"));
+  }
+}
+
+// Guards against a refusal that promises "not run" after a backend server may have run the call.
+TEST_F(ForwardingTest, PromisesNotRunOnlyWhenEveryBackendRejected) {
+  const auto reject = [](const auto& connection, const auto& request) {
+    connection.Send("HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " +
+                    HeaderOf(request.head, "Briarwood-Attempt-Id") +
+                    "\r\nContent-Length: 0\r\n\r\n");
+  };
+  FakeBackend full(reject);
+  List("a-1", full.address());
+  StartReadyEntry();
+  const std::string response = Call("POST /book/x", "Briarwood-Deadline-Ms: 300\r\n", "slot 4");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(response, HasSubstr("Retry-After: "));
+}
+
+// Guards against a call that reaches another backend server on an address that is used again.
+TEST_F(ForwardingTest, LeavesABackendWhoseAddressBelongsToAnother) {
+  FakeBackend other([](const auto& connection, const auto&) {
+    connection.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  });
+  FakeBackend right([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "booked"));
+  });
+  List("a-1", other.address());
+  List("a-2", right.address());
+  StartReadyEntry();
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_THAT(Call("POST /book/x", "", "slot 4"), HasSubstr("booked"));
+  }
+}
+
+// Guards against a repeatable call that fails although another backend server works.
+TEST_F(ForwardingTest, RepeatsARepeatableCallAfterAFailure) {
+  FakeBackend broken([](const auto& connection, const auto&) { connection.Close(); });
+  FakeBackend good([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "read"));
+  });
+  List("a-1", broken.address());
+  List("a-2", good.address());
+  StartReadyEntry();
+  for (int i = 0; i < 6; ++i) EXPECT_THAT(Call("GET /read/x"), HasSubstr("read"));
+}
+
+// Guards against an error of the application that closes the backend server for everyone.
+TEST_F(ForwardingTest, KeepsUsingABackendThatAnswersWithErrors) {
+  std::atomic<int> calls = 0;
+  FakeBackend backend([&calls](const auto& connection, const auto& request) {
+    const bool fails = ++calls <= 10;
+    connection.Send(Answer(request, fails ? "broken" : "read",
+                           fails ? "500 Internal Server Error" : "200 OK"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  for (int i = 0; i < 10; ++i) {
+    const std::string response = Call("POST /book/x", "", "slot");
+    EXPECT_THAT(response, StartsWith("HTTP/1.1 500"));
+    EXPECT_THAT(response, HasSubstr("Briarwood-Signature: sig-1"));
+  }
+  EXPECT_THAT(Call("POST /book/x", "", "slot"), HasSubstr("read"));
+}
+
+// Guards against a response of an earlier request that is handed to the next caller.
+TEST_F(ForwardingTest, SkipsAResponseOfAnotherRequest) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send("HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: earlier\r\nBriarwood-Signature: s\r\n"
+                    "Content-Length: 5\r\n\r\nwrong" +
+                    Answer(request, "right"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const std::string response = Call("POST /book/x", "", "slot");
+  EXPECT_THAT(response, HasSubstr("right"));
+  EXPECT_THAT(response, Not(HasSubstr("wrong")));
+}
+
+// Guards against bytes after a complete answer that the next caller on the connection receives.
+TEST_F(ForwardingTest, DropsAConnectionWithBytesAfterTheAnswer) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "one") + "HTTP/1.1 200 OK\r\nBriarwood-Signature: s\r\n"
+                                             "Content-Length: 5\r\n\r\nextra");
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  for (int i = 0; i < 5; ++i) {
+    const std::string response = Call("GET /read/x");
+    EXPECT_THAT(response, HasSubstr("one"));
+    EXPECT_THAT(response, Not(HasSubstr("extra")));
+  }
+}
+
+// Guards against an answer without the backend server's receipt that counts as success.
+TEST_F(ForwardingTest, FailsASuccessWithoutAReceipt) {
+  FakeBackend backend([](const auto& connection, const auto&) {
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  EXPECT_THAT(Call("POST /book/x", "", "slot"), StartsWith("HTTP/1.1 502"));
+}
+
+// Guards against an answer that was cut short and looks complete.
+TEST_F(ForwardingTest, FailsAnAnswerThatIsCutShort) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    std::string answer = Answer(request, "a longer body");
+    answer.resize(answer.size() - 4);
+    connection.Send(answer);
+    connection.Close();
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  EXPECT_THAT(Call("POST /book/x", "", "slot"), StartsWith("HTTP/1.1 502"));
+}
+
+// Guards against an answer without a length that is refused or cut.
+TEST_F(ForwardingTest, DeliversAnAnswerThatEndsWithItsConnection) {
+  FakeBackend backend([](const auto& connection, const auto&) {
+    connection.Send("HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: id-1\r\nBriarwood-Signature: s\r\n"
+                    "\r\nwhole body");
+    connection.Close();
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  EXPECT_THAT(Call("POST /book/x", "", "slot"), HasSubstr("\r\n\r\nwhole body"));
+}
+
+// Guards against a deadline that is lengthened or not kept when a backend server stays silent.
+TEST_F(ForwardingTest, EndsARequestAtItsDeadline) {
+  FakeBackend backend([](const auto&, const auto&) {});
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const auto started = std::chrono::steady_clock::now();
+  EXPECT_THAT(Call("POST /book/x", "Briarwood-Deadline-Ms: 400\r\n", "slot"),
+              StartsWith("HTTP/1.1 504"));
+  const auto took = std::chrono::steady_clock::now() - started;
+  EXPECT_GE(took, std::chrono::milliseconds(400));
+  EXPECT_LT(took, std::chrono::milliseconds(900));
+}
+
+// Guards against new work for a backend server that leaves.
+TEST_F(ForwardingTest, SendsNothingToALeavingBackend) {
+  FakeBackend leaving([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "old"));
+  });
+  FakeBackend staying([](const auto& connection, const auto& request) {
+    connection.Send(Answer(request, "new"));
+  });
+  List("a-1", leaving.address(), /*leaving=*/true);
+  List("a-2", staying.address());
+  StartReadyEntry();
+  for (int i = 0; i < 8; ++i) EXPECT_THAT(Call("GET /read/x"), HasSubstr("new"));
+  EXPECT_TRUE(leaving.requests().empty());
+}
+
+// Guards against a planned stop that cuts a request or takes new ones until it ends.
+TEST_F(ForwardingTest, FinishesWhatRunsBeforeItStops) {
+  std::atomic<bool> go = false;
+  FakeBackend backend([&go](const auto& connection, const auto& request) {
+    Eventually([&go] { return go.load(); });
+    connection.Send(Answer(request, "finished"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /book/x", "", "slot"));
+  ASSERT_TRUE(Eventually([&] { return backend.requests().size() == 1; }));
+  std::thread stop([this] { EXPECT_TRUE(node_->Drain(std::chrono::seconds(7))); });
+  EXPECT_TRUE(Eventually([this] { return !node_->Ready(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  go = true;
+  const std::string response = call.Finish();
+  EXPECT_THAT(response, HasSubstr("finished"));
+  EXPECT_THAT(response, HasSubstr("Connection: close"));
+  stop.join();
+}
+
+}  // namespace
+}  // namespace briarwood::forwarding
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -44,6 +45,13 @@
 
     void Close() const { ::shutdown(socket_, SHUT_RDWR); }
 
+    /// True when the peer has closed or reset the connection.
+    [[nodiscard]] bool PeerClosed() const {
+      char byte = 0;
+      const ssize_t got = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
    private:
     int socket_;
   };
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -20,7 +20,9 @@
 /// Control member without consensus: applies commands at once and serves its table.
 class TestControl {
  public:
-  TestControl() : sync_({.credential = kFleetCredential}, MakeSource()) {
+  explicit TestControl(
+      control::ConfigurationParser parser = control::testing_support::TextParser())
+      : state_(std::move(parser)), sync_({.credential = kFleetCredential}, MakeSource()) {
     sync_.Register(rpc_);
     rpc_.Handle<schema::ProposeRequest, schema::ProposeResponse>(
         "Propose", [this](const schema::ProposeRequest& request) {
@@ -84,7 +86,7 @@
   }
 
   mutable std::mutex mutex_;
-  control::ControlState state_{control::testing_support::TextParser()};
+  control::ControlState state_;
   std::uint64_t index_ = 0;
   common::Time isolated_at_;
   std::vector<schema::Command> commands_;
