Readmit a member that lost its disk: the joining member is told the members' addresses

Found by GroupTest.ReadmitsAMemberThatLostItsDisk, which failed before; three further tests of repair failed with it. Ruled out: the planner (tested alone) and the port being in use.

The answer to a join carries the members, and the identity file keeps them.

--- a/include/briarwood/control/group_start.h
+++ b/include/briarwood/control/group_start.h
@@ -14,8 +14,9 @@
 /// How a member of a group that forms itself starts.
 struct GroupStart {
   common::MemberId id;
-  /// Voters of a new group; empty for a member of a running one.
-  std::vector<schema::ControlPeer> initial_peers;
+  /// Voters of a new group, or members of a running one, for their addresses.
+  std::vector<schema::ControlPeer> peers;
+  bool joined = false;
 };
 
 struct GroupStartOptions {
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -248,8 +248,8 @@
                                    .log = [this](const std::string& line) { log_.Info(line); }});
     if (!start.ok()) return start.error();
     id_ = start.value().id;
-    peers_ = start.value().initial_peers;
-    join_ = peers_.empty();
+    peers_ = start.value().peers;
+    join_ = start.value().joined;
     return {};
   }
 
@@ -359,6 +359,11 @@
       return response;
     }
     const std::lock_guard lock(join_mutex_);
+    for (const schema::Member& member : status.membership.members()) {
+      schema::MemberAddress& address = *response.add_members();
+      address.set_member_id(member.id());
+      address.set_rpc_address(member.rpc_address());
+    }
     common::MemberId& known = joined_[request.incarnation()];
     if (known != common::MemberId()) {
       response.set_member_id(known.value());
--- a/src/control/group_start.cc
+++ b/src/control/group_start.cc
@@ -40,8 +40,8 @@
   return peers;
 }
 
-/// Asks one member; \returns the id, or nothing, and adds addresses to ask next.
-std::optional<common::MemberId> AskToJoin(const GroupStartOptions& options,
+/// Asks one member; \returns the identity, or nothing, and adds addresses to ask next.
+std::optional<schema::MemberIdentity> AskToJoin(const GroupStartOptions& options,
                                           const std::string& address,
                                           std::deque<std::string>& next) {
   schema::JoinRequest request;
@@ -54,7 +54,17 @@
                         .ca_file = options.settings.node().internal_tls().ca_file(),
                         .timeout = kJoinTimeout});
     const auto response = client.Call<schema::JoinResponse>("Join", request);
-    if (response.member_id() != 0) return common::MemberId(response.member_id());
+    if (response.member_id() != 0) {
+      schema::MemberIdentity identity;
+      identity.set_member_id(response.member_id());
+      identity.set_joined(true);
+      for (const schema::MemberAddress& member : response.members()) {
+        schema::ControlPeer& peer = *identity.add_peers();
+        peer.set_member_id(member.member_id());
+        peer.set_rpc_address(member.rpc_address());
+      }
+      return identity;
+    }
     if (!response.leader_rpc().empty()) next.push_front(response.leader_rpc());
     next.insert(next.end(), response.control_rpc().begin(), response.control_rpc().end());
   } catch (const rpc::RpcError& error) {
@@ -65,7 +75,7 @@
   return std::nullopt;
 }
 
-std::optional<common::MemberId> Join(const GroupStartOptions& options) {
+std::optional<schema::MemberIdentity> Join(const GroupStartOptions& options) {
   while (!options.interrupted || !options.interrupted()) {
     const std::vector<std::string> seeds = options.seeds();
     std::deque<std::string> next(seeds.begin(), seeds.end());
@@ -74,7 +84,7 @@
       const std::string address = std::move(next.front());
       next.pop_front();
       if (!asked.insert(address).second) continue;
-      if (const auto id = AskToJoin(options, address, next)) return id;
+      if (auto identity = AskToJoin(options, address, next)) return identity;
       if (options.interrupted && options.interrupted()) return std::nullopt;
     }
     std::this_thread::sleep_for(kJoinPause);
@@ -100,11 +110,11 @@
     });
     if (options.settings.bootstrap() && own != peers.end()) {
       identity.set_member_id(own->member_id());
-      for (const schema::ControlPeer& peer : peers) *identity.add_initial_peers() = peer;
+      for (const schema::ControlPeer& peer : peers) *identity.add_peers() = peer;
     } else {
-      const auto id = Join(options);
-      if (!id) return StartResult::Failure("stopped before the group took this member in");
-      identity.set_member_id(id->value());
+      auto joined = Join(options);
+      if (!joined) return StartResult::Failure("stopped before the group took this member in");
+      identity = std::move(*joined);
     }
     try {
       SaveMemberIdentity(files, folder, identity);
@@ -114,7 +124,8 @@
   }
   return StartResult::Success(
       {.id = common::MemberId(identity.member_id()),
-       .initial_peers = {identity.initial_peers().begin(), identity.initial_peers().end()}});
+       .peers = {identity.peers().begin(), identity.peers().end()},
+       .joined = identity.joined()});
 }
 
 }  // namespace briarwood::control
--- a/tests/control/fake_admin_backend.h
+++ b/tests/control/fake_admin_backend.h
@@ -13,6 +13,9 @@
  public:
   static constexpr std::uint64_t kStartUnixMs = std::uint64_t{1'767'225'600'000};
 
+  FakeAdminBackend() = default;
+  explicit FakeAdminBackend(ConfigurationParser parser) : state_(std::move(parser)) {}
+
   schema::ProposeResponse Propose(const schema::Command& command, Milliseconds) override {
     const std::lock_guard lock(mutex_);
     schema::ProposeResponse response;
--- /dev/null
+++ b/tests/control/group_test.cc
@@ -0,0 +1,220 @@
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "briarwood/control/control_daemon.h"
+#include "briarwood/rpc/client.h"
+#include "briarwood/rpc/error.h"
+#include "http/impl/free_port.h"
+#include "platform/configuration_json.h"
+
+namespace briarwood::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+bool Eventually(milliseconds limit, const std::function<bool()>& done) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return true;
+}
+
+constexpr const char* kDocument =
+    R"({"version":4,"routes":[],"services":[],"limits":{},"tenants":[]})";
+
+/// Members of a group that forms itself from seeds, in one process.
+class GroupTest : public testing::Test {
+ protected:
+  struct Member {
+    std::string address;
+    std::string folder;
+    AdminBackend* backend = nullptr;
+    std::atomic<bool> interrupted = false;
+    std::unique_ptr<ControlDaemon> daemon;
+    std::thread starting;
+  };
+
+  void SetUp() override {
+    root_ = std::filesystem::path(testing::TempDir()) / ("group_" + std::to_string(::getpid()));
+    std::filesystem::remove_all(root_);
+    for (int i = 0; i < 4; ++i) {
+      members_.push_back(std::make_unique<Member>());
+      const auto port = http::FindFreePort("127.0.0.1");
+      members_.back()->address = "127.0.0.1:" + std::to_string(port);
+      members_.back()->folder = (root_ / std::to_string(i)).string();
+    }
+    // Seeds get their ids in the order of their addresses.
+    std::sort(members_.begin(), members_.begin() + 3, [](const auto& left, const auto& right) {
+      return left->address < right->address;
+    });
+  }
+
+  void TearDown() override {
+    for (auto& member : members_) Stop(*member);
+    std::filesystem::remove_all(root_);
+  }
+
+  /// Starts a member on a thread of its own, since joining waits for the group.
+  void Start(std::size_t index, bool bootstrap) {
+    Member& member = *members_[index];
+    member.interrupted = false;
+    member.starting = std::thread([this, &member, bootstrap] {
+      ControlDaemonOptions options;
+      schema::ControlSettings& settings = options.settings;
+      settings.mutable_node()->set_id("control/" + member.address);
+      settings.mutable_node()->set_failure_domain("east");
+      settings.mutable_node()->set_rpc_listen(member.address);
+      settings.set_data_folder(member.folder);
+      for (std::size_t seed = 0; seed < 3; ++seed) settings.add_seeds(members_[seed]->address);
+      settings.set_bootstrap(bootstrap);
+      settings.set_heartbeat_ms(50);
+      settings.set_election_timeout_ms(300);
+      options.incarnation = common::Incarnation(++next_incarnation_);
+      options.parser = platform::MakeParser(schema::PlatformSettings());
+      options.interrupted = [&member] { return member.interrupted.load(); };
+      options.start_api = [&member](AdminBackend& backend) {
+        member.backend = &backend;
+        return common::Result<std::shared_ptr<void>>::Success(nullptr);
+      };
+      auto daemon = ControlDaemon::Start(std::move(options));
+      if (daemon.ok()) member.daemon = std::move(daemon).value();
+    });
+  }
+
+  void AwaitStarted(std::size_t index) { members_[index]->starting.join(); }
+
+  static void Stop(Member& member) {
+    member.interrupted = true;
+    if (member.starting.joinable()) member.starting.join();
+    member.daemon.reset();
+    member.backend = nullptr;
+  }
+
+  /// \returns the ids of the voters as member `index` knows them.
+  std::vector<std::uint64_t> Voters(std::size_t index) {
+    std::vector<std::uint64_t> voters;
+    if (members_[index]->backend == nullptr) return voters;
+    const schema::MemberStatus status = members_[index]->backend->Status();
+    for (const schema::Member& member : status.membership().members()) {
+      if (member.voter()) voters.push_back(member.id());
+    }
+    std::sort(voters.begin(), voters.end());
+    return voters;
+  }
+
+  bool Put(std::size_t index) {
+    schema::Command command;
+    command.mutable_apply_configuration()->set_document("platform");
+    command.mutable_apply_configuration()->set_version(4);
+    command.mutable_apply_configuration()->set_content(kDocument);
+    const auto response = members_[index]->backend->Propose(command, milliseconds(800));
+    return response.status() == schema::ProposeResponse::STATUS_APPLIED &&
+           response.result().code() == schema::RESULT_CODE_OK;
+  }
+
+  bool Holds(std::size_t index) {
+    if (members_[index]->backend == nullptr) return false;
+    if (!members_[index]->backend->ConfirmRead(milliseconds(500))) return false;
+    bool holds = false;
+    members_[index]->backend->ReadState([&](const ControlState& state) {
+      holds = state.documents().CurrentVersion("platform") == 4;
+    });
+    return holds;
+  }
+
+  void FormGroup() {
+    for (std::size_t i = 0; i < 3; ++i) Start(i, /*bootstrap=*/true);
+    for (std::size_t i = 0; i < 3; ++i) AwaitStarted(i);
+    ASSERT_TRUE(Eventually(milliseconds(8000), [this] { return Put(0) && Holds(1); }));
+  }
+
+  std::filesystem::path root_;
+  std::vector<std::unique_ptr<Member>> members_;
+  std::atomic<std::uint64_t> next_incarnation_ = 100;
+};
+
+// Guards against members that do not find each other when they start at once, in any order.
+TEST_F(GroupTest, FormsFromItsSeeds) {
+  FormGroup();
+  EXPECT_EQ(Voters(0), (std::vector<std::uint64_t>{1, 2, 3}));
+}
+
+// Guards against an empty member that forms a group by itself when the group is away.
+TEST_F(GroupTest, AnEmptyMemberWaitsForTheGroup) {
+  Start(0, /*bootstrap=*/false);
+  std::this_thread::sleep_for(milliseconds(800));
+  EXPECT_EQ(members_[0]->backend, nullptr);
+}
+
+// Guards against a member that lost its disk and votes under its old identity, or that an operator
+// has to admit.
+TEST_F(GroupTest, ReadmitsAMemberThatLostItsDisk) {
+  FormGroup();
+  Stop(*members_[2]);
+  std::filesystem::remove_all(members_[2]->folder);
+  Start(2, /*bootstrap=*/false);
+  AwaitStarted(2);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] {
+    return Voters(0) == std::vector<std::uint64_t>{1, 2, 4} && Holds(2);
+  }));
+}
+
+// Guards against a loss right after a repair that stops the group.
+TEST_F(GroupTest, BearsALossRightAfterARepair) {
+  FormGroup();
+  Stop(*members_[2]);
+  std::filesystem::remove_all(members_[2]->folder);
+  Start(2, /*bootstrap=*/false);
+  AwaitStarted(2);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] {
+    return Voters(0) == std::vector<std::uint64_t>{1, 2, 4} && Holds(2);
+  }));
+  Stop(*members_[1]);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(2) && Put(0); }));
+}
+
+// Guards against a VM at a new address that never gets the vote of the one it replaces.
+TEST_F(GroupTest, ReplacesAMemberByOneAtANewAddress) {
+  FormGroup();
+  Stop(*members_[2]);
+  Start(3, /*bootstrap=*/false);
+  AwaitStarted(3);
+  EXPECT_TRUE(Eventually(milliseconds(6000), [this] {
+    return Voters(0) == std::vector<std::uint64_t>{1, 2, 4} && Holds(3);
+  }));
+}
+
+// Guards against a restart of all members that loses what was acknowledged.
+TEST_F(GroupTest, KeepsWhatWasAcknowledgedThroughARestartOfAll) {
+  FormGroup();
+  for (std::size_t i = 0; i < 3; ++i) Stop(*members_[i]);
+  for (std::size_t i = 0; i < 3; ++i) Start(i, /*bootstrap=*/false);
+  for (std::size_t i = 0; i < 3; ++i) AwaitStarted(i);
+  EXPECT_TRUE(Eventually(milliseconds(5000), [this] { return Holds(0) && Holds(1) && Holds(2); }));
+}
+
+// Guards against a read that shows an older state without a majority.
+TEST_F(GroupTest, RefusesAReadWithoutAMajority) {
+  FormGroup();
+  Stop(*members_[1]);
+  Stop(*members_[2]);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] {
+    return !members_[0]->backend->ConfirmRead(milliseconds(300));
+  }));
+}
+
+}  // namespace
+}  // namespace briarwood::control
--- /dev/null
+++ b/tests/platform/client_test.cc
@@ -0,0 +1,96 @@
+#include "platform/client.h"
+
+#include <gtest/gtest.h>
+
+#include "support/raw_server.h"
+
+namespace briarwood::platform {
+namespace {
+
+using testing_support::RawServer;
+
+constexpr const char* kGood =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready",
+        "coldLeftMs":0,"id":"i-1"})";
+
+// Guards against an entry of another writer that takes the others away or names a server to use.
+TEST(PlatformClientTest, IgnoresEntriesThatCannotBeRead) {
+  schema::BackendList list;
+  const auto next = ReadPage(std::string(R"({"instances":[)") + kGood +
+                                 R"(,{"id":"i-2"},{"id":5,"service":"s"},"text",null,
+                                 {"service":"s","addr":"10.0.0.9","zone":"z","slots":1,
+                                  "state":"ready","id":"i-3"},
+                                 {"service":"s","addr":"10.0.0.8:80","zone":"z","slots":"many",
+                                  "state":"ready","id":"i-4"},
+                                 {"service":"s","addr":"10.0.0.8:80","zone":"z","slots":1,
+                                  "state":"dreaming","id":"i-5"}],"next":"p-50"})",
+                             list);
+  ASSERT_TRUE(next.ok());
+  EXPECT_EQ(next.value(), "p-50");
+  ASSERT_EQ(list.backends_size(), 1);
+  EXPECT_EQ(list.backends(0).id(), "i-1");
+  EXPECT_EQ(list.backends(0).slots(), 64U);
+  schema::BackendList none;
+  EXPECT_FALSE(ReadPage("{\"instances\":", none).ok());
+}
+
+// Guards against a list that ends with its first page.
+TEST(PlatformClientTest, ReadsAllPages) {
+  RawServer server([](const auto& connection, const auto& request) {
+    const bool first = request.path.find("pageToken") == std::string::npos;
+    std::string entry = kGood;
+    if (!first) entry.replace(entry.find("i-1"), 3, "i-2");
+    connection.Respond("200 OK", R"({"instances":[)" + entry + R"(],"next":)" +
+                                     (first ? R"("p-1"})" : "null}"));
+  });
+  schema::PlatformSettings settings;
+  settings.set_address(server.address());
+  const auto list = Client(settings, "node").ReadBackends();
+  ASSERT_TRUE(list.ok()) << list.error();
+  EXPECT_EQ(list.value().backends_size(), 2);
+  EXPECT_NE(list.value().digest(), 0U);
+}
+
+// Guards against a platform that refuses or does not answer and is taken for an empty list.
+TEST(PlatformClientTest, ReportsAPlatformThatRefuses) {
+  RawServer server([](const auto& connection, const auto&) {
+    connection.Respond("429 Too Many Requests", "{}");
+  });
+  schema::PlatformSettings settings;
+  settings.set_address(server.address());
+  EXPECT_FALSE(Client(settings, "node").ReadBackends().ok());
+  server.Crash();
+  EXPECT_FALSE(Client(settings, "node").ReadBackends().ok());
+}
+
+// Guards against a report whose figures hold calls of windows that are reported already.
+TEST(PlatformClientTest, ReportsTheCallsOfTheWindow) {
+  schema::UsageWindow window;
+  window.set_start_unix_ms(1'767'225'600'000);
+  schema::UsageLine& line = *window.add_lines();
+  line.set_customer("east");
+  line.set_calls(12);
+  line.set_late_calls(2);
+  EXPECT_EQ(UsageBody(window, 5000), R"({"counts":{"east":10},"windowId":353445120})");
+}
+
+// Guards against a holder that goes on after the platform has seen a higher fence.
+TEST(PlatformClientTest, TellsThatAReportWasFenced) {
+  std::string head;
+  RawServer server([&head](const auto& connection, const auto& request) {
+    head = request.head;
+    connection.Respond("409 Conflict", "{}");
+  });
+  schema::PlatformSettings settings;
+  settings.set_address(server.address());
+  settings.set_usage_window_ms(5000);
+  const control::ReportAnswer answer =
+      Client(settings, "node-1").SendUsage(schema::UsageWindow(), common::Term(12));
+  EXPECT_TRUE(answer.fenced);
+  EXPECT_FALSE(answer.receipt.has_value());
+  EXPECT_NE(head.find("Briarwood-Fencing-Token: 12"), std::string::npos);
+  EXPECT_NE(head.find("Briarwood-Lease-Holder: node-1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace briarwood::platform
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -167,5 +167,24 @@
   EXPECT_EQ(placement.Pick(request, kStart)->id, Id(2));
 }
 
+// Guards against refusals while servers are there: failures of all servers at once opened every
+// breaker of a small pool.
+TEST(PlacementTest, UsesAPoolWhoseBreakersAreAllOpen) {
+  PlacementOptions options;
+  options.ignore_breakers_if_all_open = true;
+  Placement placement(options);
+  placement.SetBackends(Engines(3));
+  for (std::size_t server = 0; server < 2; ++server) {
+    for (int i = 0; i < 5; ++i) placement.OnFailure(Id(server), kStart);
+  }
+  EXPECT_EQ(placement.Pick(Request(), kStart)->id, Id(2));
+  for (int i = 0; i < 5; ++i) placement.OnFailure(Id(2), kStart);
+  EXPECT_TRUE(placement.Pick(Request(), kStart).has_value());
+  placement.SetDraining(Id(0), true);
+  placement.SetDraining(Id(1), true);
+  placement.SetDraining(Id(2), true);
+  EXPECT_FALSE(placement.Pick(Request(), kStart).has_value());
+}
+
 }  // namespace
 }  // namespace briarwood::routing
--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -168,5 +168,32 @@
   EXPECT_DOUBLE_EQ(scheduler.VirtualTokens(first->request.class_id, first->request.customer), paid);
 }
 
+// Guards against requests that are refused because their class came with a later configuration, and
+// against a table of classes that grows with every change.
+TEST(SchedulerTest, TakesClassesAtRunTimeWithinABound) {
+  Scheduler scheduler = Make({});
+  for (int i = 0; i < 1000; ++i) {
+    const std::string id = "class-" + std::to_string(i);
+    ASSERT_TRUE(scheduler.SetClass(Policy(id, 1)));
+    EXPECT_TRUE(scheduler.Enqueue(Request(i, id, "east"), kStart).empty());
+    const auto picked = scheduler.PickNext(kStart);
+    ASSERT_TRUE(picked.has_value());
+    EXPECT_EQ(picked->request.class_id.value(), id);
+    scheduler.Finish(picked->request.id);
+  }
+}
+
+// Guards against a class with waiting requests that loses its place to a new one.
+TEST(SchedulerTest, KeepsClassesWithRequests) {
+  Scheduler scheduler = Make({}, 100'000);
+  for (std::size_t i = 0; i < Scheduler::kMostClasses; ++i) {
+    const std::string id = "class-" + std::to_string(i);
+    ASSERT_TRUE(scheduler.SetClass(Policy(id, 1)));
+    EXPECT_TRUE(scheduler.Enqueue(Request(static_cast<int>(i), id, "east"), kStart).empty());
+  }
+  EXPECT_FALSE(scheduler.SetClass(Policy("one-more", 1)));
+  EXPECT_EQ(scheduler.queued(), Scheduler::kMostClasses);
+}
+
 }  // namespace
 }  // namespace briarwood::routing
