--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -32,6 +32,10 @@
   placement.breaker.first_pause = std::chrono::milliseconds(300);
   placement.breaker.longest_pause = std::chrono::seconds(2);
   placement.ignore_breakers_if_all_open = true;
+  // Loads are stated in responses only. An entry that takes all servers for full sends nothing and
+  // learns nothing, so a stated load must fade as fast as a queue of short calls empties.
+  placement.half_life = std::chrono::milliseconds(300);
+  placement.mean_half_life = std::chrono::milliseconds(500);
   return placement;
 }
 
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -186,5 +186,26 @@
   EXPECT_FALSE(placement.Pick(Request(), kStart).has_value());
 }
 
+// Guards against an entry that stays away from a service for long: it learns loads from responses
+// only, and one spike of a queue made it take all servers for full for 20 s.
+TEST(PlacementTest, ReturnsSoonAfterOneSpikeOfTheStatedLoad) {
+  PlacementOptions options;
+  options.half_life = milliseconds(300);
+  options.mean_half_life = milliseconds(500);
+  Placement placement(options);
+  placement.SetBackends(Engines(3, 6));
+  for (std::size_t server = 0; server < 3; ++server) {
+    placement.Report({.id = Id(server), .taken_at = kStart, .running = 26, .capacity = 6}, kStart);
+  }
+  placement.Refresh(kStart);
+  EXPECT_FALSE(placement.Pick(Request(1), kStart).has_value());
+  common::Time now = kStart;
+  while (now < kStart + seconds(2)) {
+    now += milliseconds(50);
+    placement.Refresh(now);
+  }
+  EXPECT_TRUE(placement.Pick(Request(1), now).has_value());
+}
+
 }  // namespace
 }  // namespace briarwood::routing
