--- a/include/briarwood/distribution/sync_client.h
+++ b/include/briarwood/distribution/sync_client.h
@@ -23,7 +23,8 @@
   std::string credential;
   std::string ca_file;
   std::chrono::milliseconds period{500};
-  /// Period until the first confirmed answer: a process that has just started serves nothing before.
+  /// Period until the first confirmed answer: a process that has just started serves nothing
+  /// before.
   std::chrono::milliseconds first_period{40};
   /// Bound of one call. With 7 control members a round of 600 ms calls ends before the freshness
   /// bound of 5 s.
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -39,6 +39,8 @@
   common::BackendServerId id;
   common::Time taken_at;
   std::uint32_t running = 0;
+  /// Requests among `running` that wait for their first token.
+  std::uint32_t waiting = 0;
   /// Requests of this entry among `running`, when the agent says so; otherwise the entry's own
   /// count stands in, which also counts requests that have not reached the agent.
   std::optional<std::uint32_t> running_here;
@@ -75,6 +77,8 @@
   common::Duration mean_half_life = std::chrono::seconds(10);
   /// The server that the prefix hash chooses is used below this multiple of the mean load.
   double bounded_load = 1.25;
+  /// Load of a request that waits for its first token at a server, besides its count.
+  double waiting_work = 0;
   /// Share of each server's capacity that only the top tier fills.
   double headroom = 0.125;
   CircuitBreakerOptions breaker;
@@ -88,6 +92,8 @@
   Capability capability;
   common::Tier tier;
   std::uint64_t prefix_hash = 0;
+  /// Load that the request adds, see QueuedRequest::work.
+  double work = 1;
   /// Runs only on an empty server; such requests all go to the same server while it is usable.
   bool alone = false;
   /// A server may be chosen that must preempt a lower tier to take the request.
@@ -130,8 +136,12 @@
                                                     common::Time now);
 
   /// Counts a request as in flight on `id`; each OnSent needs one OnEnded.
-  void OnSent(const common::BackendServerId& id, common::Tier tier, bool alone, common::Time now);
-  void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone);
+  /// \param work  load that the request adds until OnWorkDone or OnEnded takes it back
+  void OnSent(const common::BackendServerId& id, common::Tier tier, bool alone, common::Time now,
+              double work = 1);
+  /// The request goes on with less load, for example after its prompt was read.
+  void OnWorkDone(const common::BackendServerId& id, double work);
+  void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone, double work = 1);
   /// Outcomes for the circuit breaker of the server.
   void OnSuccess(const common::BackendServerId& id);
   void OnFailure(const common::BackendServerId& id, common::Time now);
@@ -153,6 +163,11 @@
     std::uint32_t capacity = 1;
     std::uint32_t own = 0;
     std::uint32_t own_alone = 0;
+    /// Sum of the work of the own requests.
+    double own_work = 0;
+    /// Requests that waited for their first token at the last sample.
+    double waiting = 0;
+    double waiting_now = 0;
     TierCounts own_by_tier{};
     /// Requests of other entries at the last sample.
     double others = 0;
--- a/include/briarwood/routing/request.h
+++ b/include/briarwood/routing/request.h
@@ -43,6 +43,9 @@
   double expected_output_tokens = 0;
   /// Output tokens that the caller already has.
   std::uint64_t resume_from = 0;
+  /// Load that the request puts on a backend server until its first token, relative to a request
+  /// that only generates.
+  double work = 1;
   /// Times the request was preempted or lost its backend server.
   std::uint32_t interruptions = 0;
   /// Runs only on an empty backend server.
--- a/src/control/group_start.cc
+++ b/src/control/group_start.cc
@@ -42,8 +42,8 @@
 
 /// Asks one member; \returns the identity, or nothing, and adds addresses to ask next.
 std::optional<schema::MemberIdentity> AskToJoin(const GroupStartOptions& options,
-                                          const std::string& address,
-                                          std::deque<std::string>& next) {
+                                                const std::string& address,
+                                                std::deque<std::string>& next) {
   schema::JoinRequest request;
   request.set_rpc_address(OwnAddress(options.settings));
   request.set_failure_domain(options.settings.node().failure_domain());
@@ -122,10 +122,9 @@
       return StartResult::Failure(error.what());
     }
   }
-  return StartResult::Success(
-      {.id = common::MemberId(identity.member_id()),
-       .peers = {identity.peers().begin(), identity.peers().end()},
-       .joined = identity.joined()});
+  return StartResult::Success({.id = common::MemberId(identity.member_id()),
+                               .peers = {identity.peers().begin(), identity.peers().end()},
+                               .joined = identity.joined()});
 }
 
 }  // namespace briarwood::control
--- a/src/control/replicated_node.cc
+++ b/src/control/replicated_node.cc
@@ -344,10 +344,10 @@
     ConfirmOnce();
     std::unique_lock lock(mutex_);
     // Nothing can be served from this member before the first confirmation.
-    const Time next = started + (confirmation_ ? options_.confirmation_period
-                                               : std::min<common::Duration>(
-                                                     kFirstConfirmationPeriod,
-                                                     options_.confirmation_period));
+    const Time next =
+        started + (confirmation_ ? options_.confirmation_period
+                                 : std::min<common::Duration>(kFirstConfirmationPeriod,
+                                                              options_.confirmation_period));
     stop_changed_.wait_until(lock, next, [this] { return stopping_; });
     if (stopping_) return;
   }
--- a/src/distribution/sync_client.cc
+++ b/src/distribution/sync_client.cc
@@ -64,8 +64,8 @@
     lock.unlock();
     SyncRound();
     lock.lock();
-    const auto period = replica_.freshness() ? options_.period
-                                             : std::min(options_.first_period, options_.period);
+    const auto period =
+        replica_.freshness() ? options_.period : std::min(options_.first_period, options_.period);
     changed_.wait_for(lock, period, [this] { return wanted_ || stopping_; });
   }
 }
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -41,6 +41,13 @@
 /// Another entry takes the request at once.
 constexpr milliseconds kRetryPauseOfStop{10};
 
+/// Prompt tokens that delay an engine's other requests as much as one request that generates: the
+/// engine reads 94 tokens in a millisecond and a running request of 200 tokens adds 0.11 ms to each
+/// step.
+constexpr double kTokensPerWork = 1000;
+/// Part of the shared prompt tokens that an engine still has to read, from runs on the platform.
+constexpr double kUncachedShare = 0.3;
+
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kMisdirected = 421;
@@ -169,6 +176,19 @@
   return policy;
 }
 
+double Exchange::Work() const {
+  if (!route_->prefix_affinity()) return 1;
+  // Shared parts are mostly in the memory of the server that the prefix leads to.
+  double tokens = static_cast<double>(facts_.prompt_tokens);
+  if (!facts_.prompt_parts.empty()) {
+    tokens = static_cast<double>(facts_.prompt_parts.back().tokens);
+    for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
+      tokens += kUncachedShare * static_cast<double>(facts_.prompt_parts[i].tokens);
+    }
+  }
+  return 1 + tokens / kTokensPerWork;
+}
+
 void Exchange::Queue() {
   routing::QueuedRequest queued;
   const routing::ClassPolicy policy = Policy();
@@ -181,6 +201,7 @@
     queued.prefix_hash = common::Hash64(facts_.prompt_parts[facts_.prompt_parts.size() - 2].id);
   }
   queued.input_tokens = facts_.prompt_tokens;
+  queued.work = Work();
   queued.expected_output_tokens =
       static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
   const common::Time arrived = request_->arrived_at();
@@ -215,9 +236,11 @@
   attempt_->backend_server = dispatch.choice.id;
   attempt_->tier = dispatch.picked.tier;
   attempt_->started_at = now;
+  attempt_->work = dispatch.picked.request.work;
   attempt_->connection = owner_.pool_.Take(dispatch.choice.id, now);
   if (attempt_->connection == nullptr) {
-    owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false);
+    owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
+                              attempt_->work);
     owner_.placement_.OnFull(dispatch.choice.id, /*alone=*/false, now);
     attempt_.reset();
     state_ = State::kQueued;
@@ -280,6 +303,7 @@
     owner_.placement_.Report({.id = attempt_->backend_server,
                               .taken_at = common::BootClock::now(),
                               .running = facts.load->running + facts.load->waiting,
+                              .waiting = facts.load->waiting,
                               .running_here = std::nullopt,
                               .capacity = facts.load->slots},
                              common::BootClock::now());
@@ -295,6 +319,8 @@
   if (attempt_->began) return;
   attempt_->began = true;
   if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
+  owner_.placement_.OnWorkDone(attempt_->backend_server, attempt_->work - 1);
+  attempt_->work = 1;
   owner_.StateOf(service_).scheduler.ObserveFirstToken(
       facts_.prompt_tokens, common::BootClock::now() - attempt_->started_at);
   if (std::exchange(counted_, true)) return;
@@ -485,7 +511,7 @@
   attempt_.reset();
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
-  owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false);
+  owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work);
   switch (verdict) {
     case Verdict::kSuccess:
       owner_.placement_.OnSuccess(attempt.backend_server);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -32,6 +32,9 @@
   placement.breaker.first_pause = std::chrono::milliseconds(300);
   placement.breaker.longest_pause = std::chrono::seconds(2);
   placement.ignore_breakers_if_all_open = true;
+  // A failure domain holds three or four servers of a service; all of them are compared.
+  placement.choices = 4;
+  placement.waiting_work = 3;
   // Loads are stated in responses only. An entry that takes all servers for full sends nothing and
   // learns nothing, so a stated load must fade as fast as a queue of short calls empties.
   placement.half_life = std::chrono::milliseconds(300);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -37,6 +37,7 @@
     common::BackendServerId backend_server;
     common::Tier tier;
     common::Time started_at;
+    double work = 1;
     std::shared_ptr<http::OutgoingConnection> connection;
     http::ResponseHead head;
     ResponseFacts facts;
@@ -53,6 +54,7 @@
   bool Admit();
   void Queue();
   [[nodiscard]] routing::ClassPolicy Policy() const;
+  [[nodiscard]] double Work() const;
   void Send();
   bool OnHead(const http::ResponseHead& head);
   void OnData(std::string_view data);
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -21,6 +21,7 @@
         choice = placement.Pick({.capability = request.capability,
                                  .tier = tier,
                                  .prefix_hash = request.prefix_hash,
+                                 .work = request.work,
                                  .alone = request.alone,
                                  .may_preempt = MayPreempt(request, now),
                                  .floor_owed = floor_owed,
@@ -29,7 +30,7 @@
         return choice.has_value();
       });
   if (!picked) return std::nullopt;
-  placement.OnSent(choice->id, picked->tier, picked->request.alone, now);
+  placement.OnSent(choice->id, picked->tier, picked->request.alone, now, picked->request.work);
   return Dispatch{.picked = std::move(*picked), .choice = std::move(*choice)};
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -96,6 +96,8 @@
   const std::uint32_t here = sample.running_here.value_or(server->own);
   server->others = sample.running > here ? sample.running - here : 0;
   server->others_now = OthersAt(*server, mean_others_, now);
+  server->waiting = sample.waiting;
+  server->waiting_now = sample.waiting;
   UpdateClaim(*server, now);
 }
 
@@ -143,6 +145,11 @@
   mean_others_ = sampled > 0 ? others / sampled : 0;
   for (Server& server : servers_) {
     server.others_now = OthersAt(server, mean_others_, now);
+    if (server.sampled_at) {
+      const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
+      server.waiting_now =
+          server.waiting * std::exp2(-age_s / common::ToSeconds(options_.half_life));
+    }
     UpdateClaim(server, now);
     server.speed =
         options_.features.slow_detection ? PeersOf(server).Speed(server.description.id, now) : 1;
@@ -156,7 +163,7 @@
 }
 
 double Placement::Load(const Server& server) const noexcept {
-  return (static_cast<double>(server.own) + server.others_now) /
+  return (server.own_work + server.others_now + options_.waiting_work * server.waiting_now) /
          (static_cast<double>(server.capacity) * server.speed);
 }
 
@@ -279,7 +286,7 @@
   for (const std::uint32_t member : pool.slots[request.prefix_hash % kPrefixSlots]) {
     const Server& server = servers_[member];
     if (FitOf(server, request, now) != Fit::kRoom) continue;
-    const double one = 1.0 / static_cast<double>(server.capacity);
+    const double one = request.work / static_cast<double>(server.capacity);
     if (Load(server) <= options_.bounded_load * mean + one) return member;
   }
   return std::nullopt;
@@ -359,19 +366,26 @@
 }
 
 void Placement::OnSent(const common::BackendServerId& id, common::Tier tier, bool alone,
-                       common::Time now) {
+                       common::Time now, double work) {
   Server* server = Find(id);
   if (server == nullptr) return;
   ++server->own;
+  server->own_work += work;
   ++server->own_by_tier[TierSlot(tier)];
   if (alone) ++server->own_alone;
   server->breaker.OnSent(now);
 }
 
-void Placement::OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone) {
+void Placement::OnWorkDone(const common::BackendServerId& id, double work) {
+  if (Server* server = Find(id)) server->own_work = std::max(0.0, server->own_work - work);
+}
+
+void Placement::OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone,
+                        double work) {
   Server* server = Find(id);
   if (server == nullptr) return;
   if (server->own > 0) --server->own;
+  server->own_work = server->own == 0 ? 0 : std::max(0.0, server->own_work - work);
   std::uint32_t& count = server->own_by_tier[TierSlot(tier)];
   if (count > 0) --count;
   if (alone && server->own_alone > 0) --server->own_alone;
--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -57,9 +57,8 @@
       members_.back()->folder = (root_ / std::to_string(i)).string();
     }
     // Seeds get their ids in the order of their addresses.
-    std::sort(members_.begin(), members_.begin() + 3, [](const auto& left, const auto& right) {
-      return left->address < right->address;
-    });
+    std::sort(members_.begin(), members_.begin() + 3,
+              [](const auto& left, const auto& right) { return left->address < right->address; });
   }
 
   void TearDown() override {
@@ -211,9 +210,8 @@
   FormGroup();
   Stop(*members_[1]);
   Stop(*members_[2]);
-  EXPECT_TRUE(Eventually(milliseconds(4000), [this] {
-    return !members_[0]->backend->ConfirmRead(milliseconds(300));
-  }));
+  EXPECT_TRUE(Eventually(milliseconds(4000),
+                         [this] { return !members_[0]->backend->ConfirmRead(milliseconds(300)); }));
 }
 
 }  // namespace
--- a/tests/control/membership_planner_test.cc
+++ b/tests/control/membership_planner_test.cc
@@ -20,9 +20,8 @@
     member.set_voter(voter);
     member.set_rpc_address(address.empty() ? "10.0.0." + std::to_string(id) + ":1" : address);
     if (id == 1) return;
-    contacts_.push_back({.id = common::MemberId(id),
-                         .match = common::LogIndex(match),
-                         .last_ack = kNow - silent});
+    contacts_.push_back(
+        {.id = common::MemberId(id), .match = common::LogIndex(match), .last_ack = kNow - silent});
   }
 
   [[nodiscard]] std::string Next(common::Time leading_since = kLeadingSince) const {
--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -76,8 +76,8 @@
 /// Answers with a receipt and the id of the request.
 inline std::string Answer(const RawServer::Request& request, const std::string& body,
                           const std::string& status = "200 OK") {
-  return "HTTP/1.1 " + status + "\r\nBriarwood-Attempt-Id: " +
-         HeaderOf(request.head, "Briarwood-Attempt-Id") +
+  return "HTTP/1.1 " + status +
+         "\r\nBriarwood-Attempt-Id: " + HeaderOf(request.head, "Briarwood-Attempt-Id") +
          "\r\nBriarwood-Signature: sig-1\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
 }
@@ -178,7 +178,8 @@
                   {"name":"llm","healthPath":"/healthz","maxConns":100}],
       "limits":{"maxHeaderBytes":4096,"maxBodyBytes":20000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":3000},
-      "tenants":[{"name":"east","apiKeys":[")" + key + R"("]}]})";
+      "tenants":[{"name":"east","apiKeys":[")" +
+           key + R"("]}]})";
   }
 
   void Configure(std::uint64_t version = 1, const std::string& key = kKey) {
--- a/tests/forwarding/forwarding_test.cc
+++ b/tests/forwarding/forwarding_test.cc
@@ -47,25 +47,24 @@
   });
   List("a-1", backend.address());
   StartReadyEntry();
-  const std::string response = Call(
-      "POST /read/x", "Transfer-Encoding: chunked\r\n");
+  const std::string response = Call("POST /read/x", "Transfer-Encoding: chunked\r\n");
   // The terminating chunk is missing, so nothing may have been forwarded.
   EXPECT_TRUE(backend.requests().empty()) << response;
-  const std::string whole = RawCall(node_->port(),
-                                    "POST /read/x HTTP/1.1\r\nHost: h.example\r\n"
-                                    "Briarwood-Attempt-Id: id-1\r\nAuthorization: Bearer " +
-                                        std::string(kKey) +
-                                        "\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                        "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
-                                .Finish();
+  const std::string whole =
+      RawCall(node_->port(),
+              "POST /read/x HTTP/1.1\r\nHost: h.example\r\n"
+              "Briarwood-Attempt-Id: id-1\r\nAuthorization: Bearer " +
+                  std::string(kKey) +
+                  "\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+          .Finish();
   EXPECT_THAT(whole, HasSubstr("\r\n\r\nhello world"));
 }
 
 // Guards against a request smuggled inside another one by contradicting lengths.
 TEST_F(ForwardingTest, RefusesContradictingLengths) {
-  FakeBackend backend([](const auto& connection, const auto& request) {
-    connection.Send(Answer(request, "x"));
-  });
+  FakeBackend backend(
+      [](const auto& connection, const auto& request) { connection.Send(Answer(request, "x")); });
   List("a-1", backend.address());
   StartReadyEntry();
   for (const char* framing :
@@ -101,8 +100,7 @@
   StartReadyEntryWithOneBackend();
   EXPECT_THAT(Call("GET /read/x"), StartsWith("HTTP/1.1 200"));
   Configure(2, "another-key");
-  EXPECT_TRUE(Eventually(
-      [this] { return Call("GET /read/x").starts_with("HTTP/1.1 401"); }));
+  EXPECT_TRUE(Eventually([this] { return Call("GET /read/x").starts_with("HTTP/1.1 401"); }));
   EXPECT_THAT(Call("GET /read/x", "", "", "another-key"), StartsWith("HTTP/1.1 200"));
 }
 
@@ -208,8 +206,8 @@
   std::atomic<int> calls = 0;
   FakeBackend backend([&calls](const auto& connection, const auto& request) {
     const bool fails = ++calls <= 10;
-    connection.Send(Answer(request, fails ? "broken" : "read",
-                           fails ? "500 Internal Server Error" : "200 OK"));
+    connection.Send(
+        Answer(request, fails ? "broken" : "read", fails ? "500 Internal Server Error" : "200 OK"));
   });
   List("a-1", backend.address());
   StartReadyEntry();
@@ -224,9 +222,10 @@
 // Guards against a response of an earlier request that is handed to the next caller.
 TEST_F(ForwardingTest, SkipsAResponseOfAnotherRequest) {
   FakeBackend backend([](const auto& connection, const auto& request) {
-    connection.Send("HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: earlier\r\nBriarwood-Signature: s\r\n"
-                    "Content-Length: 5\r\n\r\nwrong" +
-                    Answer(request, "right"));
+    connection.Send(
+        "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: earlier\r\nBriarwood-Signature: s\r\n"
+        "Content-Length: 5\r\n\r\nwrong" +
+        Answer(request, "right"));
   });
   List("a-1", backend.address());
   StartReadyEntry();
@@ -238,8 +237,9 @@
 // Guards against bytes after a complete answer that the next caller on the connection receives.
 TEST_F(ForwardingTest, DropsAConnectionWithBytesAfterTheAnswer) {
   FakeBackend backend([](const auto& connection, const auto& request) {
-    connection.Send(Answer(request, "one") + "HTTP/1.1 200 OK\r\nBriarwood-Signature: s\r\n"
-                                             "Content-Length: 5\r\n\r\nextra");
+    connection.Send(Answer(request, "one") +
+                    "HTTP/1.1 200 OK\r\nBriarwood-Signature: s\r\n"
+                    "Content-Length: 5\r\n\r\nextra");
   });
   List("a-1", backend.address());
   StartReadyEntry();
@@ -276,8 +276,9 @@
 // Guards against an answer without a length that is refused or cut.
 TEST_F(ForwardingTest, DeliversAnAnswerThatEndsWithItsConnection) {
   FakeBackend backend([](const auto& connection, const auto&) {
-    connection.Send("HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: id-1\r\nBriarwood-Signature: s\r\n"
-                    "\r\nwhole body");
+    connection.Send(
+        "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: id-1\r\nBriarwood-Signature: s\r\n"
+        "\r\nwhole body");
     connection.Close();
   });
   List("a-1", backend.address());
@@ -300,12 +301,10 @@
 
 // Guards against new work for a backend server that leaves.
 TEST_F(ForwardingTest, SendsNothingToALeavingBackend) {
-  FakeBackend leaving([](const auto& connection, const auto& request) {
-    connection.Send(Answer(request, "old"));
-  });
-  FakeBackend staying([](const auto& connection, const auto& request) {
-    connection.Send(Answer(request, "new"));
-  });
+  FakeBackend leaving(
+      [](const auto& connection, const auto& request) { connection.Send(Answer(request, "old")); });
+  FakeBackend staying(
+      [](const auto& connection, const auto& request) { connection.Send(Answer(request, "new")); });
   List("a-1", leaving.address(), /*leaving=*/true);
   List("a-2", staying.address());
   StartReadyEntry();
--- a/tests/forwarding/streams_test.cc
+++ b/tests/forwarding/streams_test.cc
@@ -124,7 +124,8 @@
     connection.Send(StreamHead(request) + "0\r\n\r\n");
   });
   List("m-1", backend.address());
-  ASSERT_TRUE(Eventually([&] { return Call("POST /ask/y", "", "{}").starts_with("HTTP/1.1 200"); }));
+  ASSERT_TRUE(
+      Eventually([&] { return Call("POST /ask/y", "", "{}").starts_with("HTTP/1.1 200"); }));
   for (const RawServer::Request& request : backend.requests()) EXPECT_EQ(request.path, "/ask/y");
 }
 
--- a/tests/platform/client_test.cc
+++ b/tests/platform/client_test.cc
@@ -40,8 +40,8 @@
     const bool first = request.path.find("pageToken") == std::string::npos;
     std::string entry = kGood;
     if (!first) entry.replace(entry.find("i-1"), 3, "i-2");
-    connection.Respond("200 OK", R"({"instances":[)" + entry + R"(],"next":)" +
-                                     (first ? R"("p-1"})" : "null}"));
+    connection.Respond(
+        "200 OK", R"({"instances":[)" + entry + R"(],"next":)" + (first ? R"("p-1"})" : "null}"));
   });
   schema::PlatformSettings settings;
   settings.set_address(server.address());
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -68,8 +68,7 @@
 
 // Guards against seeds that lead to another listener.
 TEST(ArgumentsTest, ReplacesThePortOfSeeds) {
-  EXPECT_EQ(ToRpcAddresses({"10.1.0.9:8229"}, 7340),
-            std::vector<std::string>{"10.1.0.9:7340"});
+  EXPECT_EQ(ToRpcAddresses({"10.1.0.9:8229"}, 7340), std::vector<std::string>{"10.1.0.9:7340"});
   EXPECT_EQ(ToRpcAddresses({"10.1.0.9:8229"}, 0), std::vector<std::string>{"10.1.0.9:8229"});
 }
 
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -71,8 +71,8 @@
                                R"("service":"gone","attempts":1)")),
             0U);
   EXPECT_GT(ProblemsOf(Replace(kValid, "/b/", "/a/")), 0U);
-  EXPECT_GT(ProblemsOf(Replace(Replace(kValid, R"("weight":90)", R"("weight":0)"),
-                               R"("weight":10)", R"("weight":0)")),
+  EXPECT_GT(ProblemsOf(Replace(Replace(kValid, R"("weight":90)", R"("weight":0)"), R"("weight":10)",
+                               R"("weight":0)")),
             0U);
   EXPECT_GT(ProblemsOf(Replace(kValid, R"("timeoutMs":3000)", R"("timeoutMs":0)")), 0U);
   EXPECT_GT(ProblemsOf(Replace(kValid, R"("apiKeys":[])", R"("apiKeys":["k1"])")), 0U);
--- a/tests/platform/operator_api_test.cc
+++ b/tests/platform/operator_api_test.cc
@@ -32,8 +32,7 @@
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
   }
 
-  control::testing_support::FakeAdminBackend backend_{
-      MakeParser(schema::PlatformSettings())};
+  control::testing_support::FakeAdminBackend backend_{MakeParser(schema::PlatformSettings())};
   std::shared_ptr<OperatorApi> api_;
 };
 
--- a/tests/routing/forward_table_test.cc
+++ b/tests/routing/forward_table_test.cc
@@ -23,12 +23,12 @@
 
 // Guards against a route that takes the requests of a more exact one, or of another host.
 TEST(ForwardTableTest, FindsTheLongestPrefixOfTheHost) {
-  const ForwardTable table({.routes = {Route("a", "h.example", "/x/"),
-                                       Route("b", "h.example", "/x/y/"),
-                                       Route("c", "other.example", "/")},
-                            .services = {},
-                            .customers = {},
-                            .limits = schema::CallerLimits()});
+  const ForwardTable table(
+      {.routes = {Route("a", "h.example", "/x/"), Route("b", "h.example", "/x/y/"),
+                  Route("c", "other.example", "/")},
+       .services = {},
+       .customers = {},
+       .limits = schema::CallerLimits()});
   EXPECT_EQ(Match(table, "h.example", "/x/1"), "a");
   EXPECT_EQ(Match(table, "h.example", "/x/y/1"), "b");
   EXPECT_EQ(Match(table, "h.example", "/x/y"), "a");
@@ -48,8 +48,7 @@
   schema::Customer west;
   west.set_id("west");
   west.add_key_sha256(common::ToHex(common::Sha256("k2")));
-  const ForwardTable table(
-      {.routes = {}, .services = {}, .customers = {east, west}, .limits = {}});
+  const ForwardTable table({.routes = {}, .services = {}, .customers = {east, west}, .limits = {}});
   ASSERT_NE(table.FindOwner("k1"), nullptr);
   EXPECT_EQ(table.FindOwner("k1")->customer.value(), "east");
   EXPECT_EQ(table.FindOwner("k1")->tier, common::Tier(0));
@@ -73,9 +72,7 @@
   EXPECT_EQ(ForwardTable::ChooseService(route, 0.999), "few");
 }
 
-TEST(ForwardTableTest, IsUnknownBeforeAConfiguration) {
-  EXPECT_FALSE(ForwardTable({}).known());
-}
+TEST(ForwardTableTest, IsUnknownBeforeAConfiguration) { EXPECT_FALSE(ForwardTable({}).known()); }
 
 }  // namespace
 }  // namespace briarwood::routing
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -207,5 +207,41 @@
   EXPECT_TRUE(placement.Pick(Request(1), now).has_value());
 }
 
+// Load pattern: long prompts beside short ones. Guards against a placement by count: an engine with
+// three long prompts still to read takes the next request although one with five short ones would
+// answer it sooner.
+TEST(PlacementTest, LongPromptsBesideShortOnesArePlacedByTheTokensToRead) {
+  PlacementOptions options;
+  options.choices = 4;
+  Placement placement(options);
+  placement.SetBackends(Engines(2, 64));
+  for (int i = 0; i < 3; ++i) placement.OnSent(Id(0), common::Tier(1), false, kStart, 10);
+  for (int i = 0; i < 5; ++i) placement.OnSent(Id(1), common::Tier(1), false, kStart, 1.5);
+  placement.Refresh(kStart);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(placement.Pick(Request(1), kStart)->id, Id(1));
+  // Once the prompts are read, only the count is left.
+  for (int i = 0; i < 3; ++i) placement.OnWorkDone(Id(0), 9);
+  placement.Refresh(kStart + seconds(1));
+  int to_first = 0;
+  for (int i = 0; i < 10; ++i) {
+    if (placement.Pick(Request(1), kStart + seconds(1))->id == Id(0)) ++to_first;
+  }
+  EXPECT_GT(to_first, 0);
+}
+
+// Load pattern: requests of other entries wait at a server for their first token. Guards against
+// sending more to it while another one is free.
+TEST(PlacementTest, WaitingRequestsCountMoreThanRunningOnes) {
+  PlacementOptions options;
+  options.choices = 4;
+  options.waiting_work = 3;
+  Placement placement(options);
+  placement.SetBackends(Engines(2, 64));
+  placement.Report({.id = Id(0), .taken_at = kStart, .running = 10, .waiting = 8}, kStart);
+  placement.Report({.id = Id(1), .taken_at = kStart, .running = 14, .waiting = 0}, kStart);
+  placement.Refresh(kStart);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(placement.Pick(Request(1), kStart)->id, Id(1));
+}
+
 }  // namespace
 }  // namespace briarwood::routing
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -20,8 +20,7 @@
 /// Control member without consensus: applies commands at once and serves its table.
 class TestControl {
  public:
-  explicit TestControl(
-      control::ConfigurationParser parser = control::testing_support::TextParser())
+  explicit TestControl(control::ConfigurationParser parser = control::testing_support::TextParser())
       : state_(std::move(parser)), sync_({.credential = kFleetCredential}, MakeSource()) {
     sync_.Register(rpc_);
     rpc_.Handle<schema::ProposeRequest, schema::ProposeResponse>(
