--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -36,9 +36,9 @@
   [[nodiscard]] virtual common::Time arrived_at() const noexcept = 0;
 
   /// Sends a whole response.
-  virtual void Respond(ResponseHead head, std::string body) = 0;
+  virtual void Respond(const ResponseHead& head, const std::string& body) = 0;
   /// Sends status and header, then the body in pieces as they are written.
-  virtual void StartStream(ResponseHead head) = 0;
+  virtual void StartStream(const ResponseHead& head) = 0;
   virtual void Write(std::string_view piece) = 0;
   /// Marks the body as complete.
   virtual void EndStream() = 0;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -368,7 +368,7 @@
   if (!std::exchange(response_started_, true)) {
     http::ResponseHead head = attempt_->head;
     http::RemoveConnectionFields(head.headers);
-    request_->StartStream(std::move(head));
+    request_->StartStream(head);
   }
   request_->Write(event.text);
   owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
@@ -398,7 +398,7 @@
     if (!std::exchange(response_started_, true)) {
       http::ResponseHead head = attempt_->head;
       http::RemoveConnectionFields(head.headers);
-      request_->StartStream(std::move(head));
+      request_->StartStream(head);
     }
     request_->EndStream();
     ReleaseAttempt(Verdict::kSuccess);
@@ -431,7 +431,7 @@
     return;
   }
   http::RemoveConnectionFields(head.headers);
-  request_->Respond(std::move(head), std::move(attempt_->body));
+  request_->Respond(head, attempt_->body);
   // An error that the backend server answers by itself is the application's; it says nothing about
   // whether the backend server works.
   ReleaseAttempt(Verdict::kSuccess);
@@ -487,7 +487,7 @@
     head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(kRetryPause));
   }
   const std::uint16_t status = head.status;
-  request_->Respond(std::move(head), std::move(body));
+  request_->Respond(head, body);
   End("rejected", status, "backend_rejected");
 }
 
@@ -614,7 +614,7 @@
   if (retry_after) {
     head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(*retry_after));
   }
-  request_->Respond(std::move(head), {});
+  request_->Respond(head, {});
   owner_.metrics_.CountRefusal(reason);
   End("refused", status, reason);
 }
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -167,7 +167,8 @@
   Pump(service);
 }
 
-void Forwarder::HandleDropped(ServiceState& state, std::vector<routing::DroppedRequest> dropped) {
+void Forwarder::HandleDropped(ServiceState& state,
+                              const std::vector<routing::DroppedRequest>& dropped) {
   for (const routing::DroppedRequest& one : dropped) {
     const auto found = state.exchanges.find(one.request.id);
     if (found == state.exchanges.end()) continue;
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -228,7 +228,7 @@
     } else {
       head.status = kNotFound;
     }
-    request.Respond(std::move(head), std::move(body));
+    request.Respond(head, body);
   }
 
   void ScheduleTick() {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -11,6 +11,23 @@
 
 namespace briarwood::forwarding::impl {
 
+/// What is known of one send to a backend server.
+struct Attempt {
+  common::BackendServerId backend_server;
+  common::Tier tier;
+  common::Time started_at;
+  common::Time heard_at;
+  double work = 1;
+  std::shared_ptr<http::OutgoingConnection> connection;
+  http::ResponseHead head;
+  ResponseFacts facts;
+  bool has_head = false;
+  std::string body;
+  EventSplitter events;
+  bool streaming = false;
+  bool began = false;
+};
+
 /// One request of a caller from its arrival to the end of its answer: queued, sent to a backend
 /// server, perhaps sent to another one, answered.
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -32,23 +49,6 @@
  private:
   enum class State : std::uint8_t { kHeld, kQueued, kRunning, kEnded };
 
-  /// What is known of one send to a backend server.
-  struct Attempt {
-    common::BackendServerId backend_server;
-    common::Tier tier;
-    common::Time started_at;
-    common::Time heard_at;
-    double work = 1;
-    std::shared_ptr<http::OutgoingConnection> connection;
-    http::ResponseHead head;
-    ResponseFacts facts;
-    bool has_head = false;
-    std::string body;
-    EventSplitter events;
-    bool streaming = false;
-    bool began = false;
-  };
-
   /// Waits for the first configuration, or refuses.
   void Hold();
   /// \returns true when the request may be queued; otherwise it waits or has been answered.
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -81,7 +81,7 @@
   void Enqueue(const std::string& service, const routing::ClassPolicy& policy,
                routing::QueuedRequest request, Exchange& exchange);
   void Pump(const std::string& service);
-  void HandleDropped(ServiceState& state, std::vector<routing::DroppedRequest> dropped);
+  void HandleDropped(ServiceState& state, const std::vector<routing::DroppedRequest>& dropped);
   [[nodiscard]] std::uint32_t ConnectionShare(const std::string& service) const;
   void ApplyBackends();
 
--- a/src/http/heads.cc
+++ b/src/http/heads.cc
@@ -58,7 +58,9 @@
 }
 
 std::string ReasonOf(std::uint16_t status) {
-  return std::string(beast::http::obsolete_reason(beast::http::int_to_status(status)));
+  const beast::string_view reason =
+      beast::http::obsolete_reason(beast::http::int_to_status(status));
+  return {reason.data(), reason.size()};
 }
 
 std::string SerializeRequest(const RequestHead& head, std::size_t body_bytes, bool has_body) {
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -130,8 +130,8 @@
   [[nodiscard]] bool Serves(std::uint64_t number) const noexcept {
     return !closed_ && in_request_ && number == request_number_;
   }
-  void Respond(ResponseHead head, std::string body);
-  void StartStream(ResponseHead head);
+  void Respond(const ResponseHead& head, const std::string& body);
+  void StartStream(const ResponseHead& head);
   void Write(std::string_view piece);
   void EndStream();
   void SetGone(std::function<void()> callback);
@@ -218,13 +218,13 @@
   }
   [[nodiscard]] common::Time arrived_at() const noexcept override { return arrived_at_; }
 
-  void Respond(ResponseHead head, std::string body) override {
+  void Respond(const ResponseHead& head, const std::string& body) override {
     if (!connection_->Serves(number_) || ended_) return;
     ended_ = true;
-    connection_->Respond(std::move(head), std::move(body));
+    connection_->Respond(head, body);
   }
-  void StartStream(ResponseHead head) override {
-    if (connection_->Serves(number_) && !ended_) connection_->StartStream(std::move(head));
+  void StartStream(const ResponseHead& head) override {
+    if (connection_->Serves(number_) && !ended_) connection_->StartStream(head);
   }
   void Write(std::string_view piece) override {
     if (connection_->Serves(number_) && !ended_) connection_->Write(piece);
@@ -411,7 +411,7 @@
 
 void IncomingConnection::SetGone(std::function<void()> callback) { gone_ = std::move(callback); }
 
-void IncomingConnection::Respond(ResponseHead head, std::string body) {
+void IncomingConnection::Respond(const ResponseHead& head, const std::string& body) {
   if (response_started_) return;
   response_started_ = true;
   close_after_ = close_after_ || server_->retiring();
@@ -421,7 +421,7 @@
   Send(std::move(bytes));
 }
 
-void IncomingConnection::StartStream(ResponseHead head) {
+void IncomingConnection::StartStream(const ResponseHead& head) {
   if (response_started_) return;
   response_started_ = true;
   chunked_ = !peer_is_http_1_0_;
--- a/src/http/outgoing.cc
+++ b/src/http/outgoing.cc
@@ -50,7 +50,7 @@
 class Connection : public OutgoingConnection {
  public:
   Connection(EventLoop& loop, Endpoint server)
-      : loop_(loop), server_(std::move(server)), socket_(loop), timer_(loop) {}
+      : server_(std::move(server)), socket_(loop), timer_(loop) {}
 
   void Send(std::string head, std::shared_ptr<const std::string> body,
             std::chrono::milliseconds connect_limit, OutgoingHandlers handlers) override {
@@ -271,7 +271,6 @@
     });
   }
 
-  EventLoop& loop_;
   Endpoint server_;
   Socket socket_;
   Timer timer_;
--- a/tests/forwarding/streams_test.cc
+++ b/tests/forwarding/streams_test.cc
@@ -7,7 +7,6 @@
 
 using ::testing::HasSubstr;
 using ::testing::Not;
-using ::testing::StartsWith;
 
 std::string Body(const std::string& response) {
   return response.substr(response.find("\r\n\r\n") + 4);
