--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -41,6 +41,7 @@
 constexpr milliseconds kLeaveRotation{2600};
 constexpr milliseconds kDrainPoll{20};
 constexpr milliseconds kUsageFlushLimit{800};
+constexpr std::uint64_t kFreshAnswerMs = 1500;
 constexpr unsigned kRpcThreads = 2;
 /// Descriptors for files, the log, the RPC layer and the listeners.
 constexpr std::uint32_t kReservedDescriptors = 400;
@@ -339,7 +340,9 @@
   void OnResponse(const schema::SyncResponse& response, common::Time sent_at) {
     const common::Time now = common::BootClock::now();
     if (!has_table_) OnRows();
-    if (lost_control_.exchange(false)) {
+    // A member that is cut off from its leader answers as well, with an old confirmation.
+    const bool fresh = response.confirmed() && response.freshness_age_ms() <= kFreshAnswerMs;
+    if (fresh && lost_control_.exchange(false)) {
       log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
     }
     if (response.agreed_unix_ms() != 0) {
