Count what runs on the loop before a planned stop ends

The stop looked at a count that the tick had stored up to 10 ms before, and began to refuse requests in the same step. Ruled out: resets, idle timeouts, a crash (log: drained idle=true in_flight=0, stopped).

The stop now asks on the loop, after it refuses, for requests and connections that are open.

--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -163,13 +163,8 @@
     while (common::BootClock::now() < end) {
       std::this_thread::sleep_for(kDrainPoll);
       if (common::BootClock::now() - started < kLeaveRotation) continue;
-      // A request that is taken later may not end within the grace.
-      boost::asio::post(loop_, [this] {
-        server_->StopAccepting();
-        server_->CloseIdle();
-        forwarder_.RefuseNew();
-      });
-      if (InFlight() == 0) {
+      // Asked on the loop, after it has begun to refuse: a request that arrived just before counts.
+      if (RefuseAndCount() == 0) {
         idle = true;
         break;
       }
@@ -264,6 +259,19 @@
     for (const schema::BillingRecord& record : usage_counter_.Take()) usage_.Hold(record);
   }
 
+  /// Takes no further connections and requests: one that is taken late may not end within the
+  /// grace. \returns what is still open, in requests and connections
+  std::size_t RefuseAndCount() {
+    std::promise<std::size_t> open;
+    boost::asio::post(loop_, [&] {
+      server_->StopAccepting();
+      forwarder_.RefuseNew();
+      server_->CloseIdle();
+      open.set_value(forwarder_.in_flight() + server_->connections());
+    });
+    return open.get_future().get();
+  }
+
   /// Moves the counts of the loop to the reporter and waits for that.
   void FlushUsage() {
     std::promise<void> done;
--- a/tests/forwarding/forwarding_test.cc
+++ b/tests/forwarding/forwarding_test.cc
@@ -333,5 +333,41 @@
   stop.join();
 }
 
+// Guards against a planned stop that ends while a request has just been taken: the count of what
+// runs was up to 10 ms old, and the request was cut without an answer.
+TEST_F(ForwardingTest, LosesNoRequestAroundTheEndOfAPlannedStop) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    connection.Send(Answer(request, "finished"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const std::uint16_t port = node_->port();
+  std::atomic<bool> stopped = false;
+  std::atomic<int> cut = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back([&] {
+      while (!stopped) {
+        const std::size_t before = backend.requests().size();
+        try {
+          const std::string response = RawCall(port, Request("POST /book/x", "", "slot")).Finish();
+          if (response.empty() && backend.requests().size() > before) ++cut;
+        } catch (const std::runtime_error&) {
+          // The listener is closed: nothing was taken.
+          std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+      }
+    });
+  }
+  EXPECT_TRUE(node_->Drain(std::chrono::seconds(7)));
+  const std::size_t taken = backend.requests().size();
+  node_.reset();
+  stopped = true;
+  for (std::thread& caller : callers) caller.join();
+  EXPECT_EQ(cut, 0);
+  EXPECT_EQ(backend.requests().size(), taken);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
