--- a/tests/forwarding/forwarding_test.cc
+++ b/tests/forwarding/forwarding_test.cc
@@ -345,8 +345,10 @@
   const std::uint16_t port = node_->port();
   std::atomic<bool> stopped = false;
   std::atomic<int> cut = 0;
+  constexpr std::size_t kCallers = 4;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 4; ++i) {
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       while (!stopped) {
         const std::size_t before = backend.requests().size();
