Add a fault soak of the real programs, and members without a disk

The soak runs control members and entries as processes on loopback addresses, behind proxies that delay, cut one way, silence and reset connections, and kills, pauses, stops, reloads and wipes them from a seeded plan.

A control process without a disk ended with an error, so a deployment that puts the role on such a VM counted as failed. It now keeps its log in memory, joins as a learner and never votes.

--- a/cmake/briarwood.cmake
+++ b/cmake/briarwood.cmake
@@ -77,6 +77,32 @@
   endforeach()
 endfunction()
 
+# Fault soak of the real programs: a library of soak/*.cc, its program, and a short run as a test.
+function(briarwood_soak)
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/soak/*.cc)
+  set(main ${PROJECT_SOURCE_DIR}/soak/soak_main.cc)
+  list(REMOVE_ITEM sources ${main})
+  add_library(briarwood_soak STATIC ${sources})
+  target_compile_options(briarwood_soak PRIVATE ${BRIARWOOD_WARNINGS})
+  target_link_libraries(briarwood_soak PUBLIC briarwood_platform)
+  add_executable(briarwood-soak ${main})
+  target_compile_options(briarwood-soak PRIVATE ${BRIARWOOD_WARNINGS})
+  target_link_libraries(briarwood-soak PRIVATE briarwood_soak Boost::program_options)
+  # Seeds that failed once, with the cause of each, and one more.
+  file(STRINGS ${PROJECT_SOURCE_DIR}/soak/seeds.txt seeds REGEX "^[0-9]+")
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+               ${PROJECT_SOURCE_DIR}/soak/seeds.txt)
+  foreach(line ${seeds})
+    string(REGEX MATCH "^[0-9]+" seed "${line}")
+    add_test(NAME Soak.Seed${seed}
+             COMMAND briarwood-soak --programs ${PROJECT_BINARY_DIR}
+                     --templates ${PROJECT_SOURCE_DIR}/platform
+                     --folder ${PROJECT_BINARY_DIR}/soak --seed ${seed} --faults-seconds 12
+                     --calm-seconds 4)
+    set_tests_properties(Soak.Seed${seed} PROPERTIES TIMEOUT 120)
+  endforeach()
+endfunction()
+
 # One test program per folder of tests/: tests/<module>/*_test.cc.
 function(briarwood_tests)
   include(GoogleTest)
@@ -91,7 +117,7 @@
       target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
       target_compile_definitions(${target} PRIVATE
         BRIARWOOD_SOURCE_DIR="${PROJECT_SOURCE_DIR}" BRIARWOOD_BINARY_DIR="${PROJECT_BINARY_DIR}")
-      target_link_libraries(${target} PRIVATE briarwood_platform GTest::gmock GTest::gtest_main)
+      target_link_libraries(${target} PRIVATE briarwood_soak GTest::gmock GTest::gtest_main)
       gtest_discover_tests(${target} DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT 120)
     endif()
   endforeach()
--- /dev/null
+++ b/soak/configuration_source.cc
@@ -0,0 +1,60 @@
+#include "soak/configuration_source.h"
+
+#include <charconv>
+
+namespace briarwood::soak {
+namespace {
+
+constexpr std::chrono::milliseconds kCallTimeout{1500};
+constexpr std::chrono::milliseconds kStreamTimeout{5000};
+constexpr std::string_view kVersionField = R"({"version":)";
+
+std::string Route(const std::string& name, const std::string& path, const std::string& rest) {
+  return R"({"name":")" + name + R"(","host":")" + kHost + R"(","pathPrefix":")" + path + "\"," +
+         rest + "}";
+}
+
+std::string Customer(const char* name, const char* key) {
+  return std::string(R"({"name":")") + name + R"(","apiKeys":[")" + key + R"("]})";
+}
+
+}  // namespace
+
+std::chrono::milliseconds TimeoutOf(CallKind kind) {
+  const bool stream = kind == CallKind::kStream || kind == CallKind::kResumableStream;
+  return stream ? kStreamTimeout : kCallTimeout;
+}
+
+std::string VersionPath(std::uint64_t version) { return "/v" + std::to_string(version) + "/"; }
+
+std::string MakeConfiguration(std::uint64_t version, bool valid) {
+  const std::string call =
+      R"("timeoutMs":1500,"sloMs":300,"priority":1,"service":"app","attempts":2)";
+  const std::string stream =
+      R"("type":"streaming","timeoutMs":5000,"sloMs":800,"service":"llm","affinity":true,)"
+      R"("itlTargetMs":200,)";
+  return std::string(kVersionField) + std::to_string(version) + R"(,"routes":[)" +
+         Route("read", "/read/", R"("type":"safe",)" + call) + "," +
+         Route("book", "/book/", R"("type":"unsafe",)" + call) + "," +
+         Route("ask", "/ask/", stream + R"("priority":2,"attempts":1)") + "," +
+         Route("draft", "/draft/", stream + R"("priority":0,"attempts":2,"resumable":true)") + "," +
+         Route("version", VersionPath(version), R"("type":"safe",)" + call) +
+         R"(],"services":[{"name":"app","healthPath":"/healthz","maxConns":200},)"
+         R"({"name":")" +
+         (valid ? "llm" : "other") +
+         R"(","healthPath":"/healthz","maxConns":200}],)"
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,)"
+         R"("idleTimeoutMs":15000},"tenants":[)" +
+         Customer(kCustomerA, kKeyA) + "," + Customer(kCustomerB, kKeyB) + "]}";
+}
+
+std::optional<std::uint64_t> VersionOf(const std::string& content) {
+  if (!content.starts_with(kVersionField)) return std::nullopt;
+  std::uint64_t version = 0;
+  const char* begin = content.data() + kVersionField.size();
+  const auto parsed = std::from_chars(begin, content.data() + content.size(), version);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return version;
+}
+
+}  // namespace briarwood::soak
--- /dev/null
+++ b/soak/http_call.cc
@@ -0,0 +1,52 @@
+#include "soak/http_call.h"
+
+#include <memory>
+#include <utility>
+
+#include "briarwood/http/outgoing.h"
+
+namespace briarwood::soak {
+namespace {
+
+struct PendingCall {
+  explicit PendingCall(http::EventLoop& loop) : timer(loop) {}
+
+  void End(bool complete) {
+    if (!on_end) return;
+    timer.cancel();
+    connection->Close();
+    std::exchange(on_end, nullptr)(complete ? std::optional<HttpReply>(std::move(reply))
+                                            : std::nullopt);
+  }
+
+  std::shared_ptr<http::OutgoingConnection> connection;
+  http::Timer timer;
+  HttpReply reply;
+  std::function<void(std::optional<HttpReply>)> on_end;
+};
+
+}  // namespace
+
+void CallOnce(http::EventLoop& loop, const std::string& address, const http::RequestHead& head,
+              const std::string& body, std::chrono::milliseconds limit,
+              std::function<void(std::optional<HttpReply> reply)> on_end) {
+  auto call = std::make_shared<PendingCall>(loop);
+  call->on_end = std::move(on_end);
+  call->connection = http::OutgoingConnection::Create(loop, *http::ParseEndpoint(address));
+  call->timer.expires_after(limit);
+  call->timer.async_wait([call](const boost::system::error_code& error) {
+    if (!error) call->End(/*complete=*/false);
+  });
+  call->connection->Send(
+      http::SerializeRequest(head, body.size(), !body.empty()),
+      std::make_shared<const std::string>(body), limit,
+      {.on_head =
+           [call](const http::ResponseHead& received) {
+             call->reply.head = received;
+             return true;
+           },
+       .on_data = [call](std::string_view data) { call->reply.body += data; },
+       .on_end = [call](http::CallEnd end) { call->End(end == http::CallEnd::kComplete); }});
+}
+
+}  // namespace briarwood::soak
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -28,6 +28,8 @@
 #include "briarwood/rpc/client.h"
 #include "briarwood/rpc/server.h"
 #include "briarwood/storage/error.h"
+#include "briarwood/storage/files.h"
+#include "briarwood/storage/memory_files.h"
 
 namespace briarwood::control {
 namespace {
@@ -89,6 +91,12 @@
   return timing;
 }
 
+/// A member without a disk keeps its log in memory.
+storage::Files FilesOf(const schema::ControlSettings& settings) {
+  if (!settings.data_folder().empty()) return storage::Files(storage::PosixFiles());
+  return storage::Files(storage::MemoryFiles(std::make_shared<storage::MemoryDisk>()));
+}
+
 std::string ReadFile(const std::string& name) {
   const std::ifstream file(name);
   std::ostringstream text;
@@ -269,6 +277,7 @@
     NodeOptions node;
     node.id = id_;
     node.data_folder = settings.data_folder();
+    node.files = files_;
     node.timing = TimingOf(settings);
     node.credential = options_.credential;
     node.ca_file = ca_file();
@@ -377,10 +386,12 @@
     member.set_id(highest + 1);
     member.set_rpc_address(request.rpc_address());
     member.set_failure_domain(request.failure_domain());
+    member.set_without_disk(request.without_disk());
     const auto added = node_->AddLearner(member, kJoinTimeout);
     log_.Info(LogLine("join")
                   .Add("member", member.id())
                   .Add("address", member.rpc_address())
+                  .Add("without_disk", member.without_disk())
                   .Add("added", added.ok())
                   .Add("problem", added.ok() ? std::string_view() : added.error())
                   .text());
@@ -689,7 +700,7 @@
 
   ControlDaemonOptions options_;
   observability::Logger log_{"control"};
-  storage::Files files_{storage::PosixFiles()};
+  storage::Files files_{FilesOf(options_.settings)};
   common::MemberId id_;
   std::vector<schema::ControlPeer> peers_;
   bool join_ = false;
--- a/src/control/group_start.cc
+++ b/src/control/group_start.cc
@@ -48,6 +48,7 @@
   request.set_rpc_address(OwnAddress(options.settings));
   request.set_failure_domain(options.settings.node().failure_domain());
   request.set_incarnation(options.incarnation.value());
+  request.set_without_disk(options.settings.data_folder().empty());
   try {
     rpc::Client client({.address = address,
                         .credential = options.credential,
@@ -108,7 +109,8 @@
     const auto own = std::find_if(peers.begin(), peers.end(), [&](const auto& peer) {
       return peer.rpc_address() == OwnAddress(options.settings);
     });
-    if (options.settings.bootstrap() && own != peers.end()) {
+    const bool has_disk = !options.settings.data_folder().empty();
+    if (options.settings.bootstrap() && has_disk && own != peers.end()) {
       identity.set_member_id(own->member_id());
       for (const schema::ControlPeer& peer : peers) *identity.add_peers() = peer;
     } else {
--- a/src/control/membership_planner.cc
+++ b/src/control/membership_planner.cc
@@ -56,7 +56,7 @@
       return consensus::RemoveMember{common::MemberId(member.id())};
     }
     const MemberContact* contact = Find(contacts, member.id());
-    const bool ready = contact != nullptr && contact->last_ack &&
+    const bool ready = !member.without_disk() && contact != nullptr && contact->last_ack &&
                        now - *contact->last_ack < kRecent &&
                        contact->match.value() + kCatchUpSlack >= commit.value();
     if (ready && ready_learner == nullptr) ready_learner = &member;
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -109,7 +109,9 @@
 
 void CheckControl(const schema::ControlSettings& settings, Findings& findings) {
   CheckNode(settings.node(), findings);
-  RequireText(settings.data_folder(), {}, "data_folder", "the path of a folder", findings);
+  if (settings.seeds().empty()) {
+    RequireText(settings.data_folder(), {}, "data_folder", "the path of a folder", findings);
+  }
   if (settings.has_platform()) CheckPlatform(settings.platform(), "platform", findings);
   if (!settings.seeds().empty()) {
     CheckSeeds(settings, findings);
--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -196,6 +196,31 @@
   }));
 }
 
+// Guards against a control VM without a disk that ends with an error, or that gets a vote which its
+// restart forgets.
+TEST_F(GroupTest, AMemberWithoutDiskServesAndNeverVotes) {
+  members_[3]->folder.clear();
+  FormGroup();
+  Start(3, /*bootstrap=*/true);
+  AwaitStarted(3);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3) && Put(3); }));
+  Stop(*members_[2]);
+  std::this_thread::sleep_for(milliseconds(2500));
+  EXPECT_EQ(Voters(0), (std::vector<std::uint64_t>{1, 2, 3}));
+  Stop(*members_[3]);
+  Start(3, /*bootstrap=*/false);
+  AwaitStarted(3);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3); }));
+}
+
+// Guards against a seed without a disk that takes part in forming the group.
+TEST_F(GroupTest, FormsWhenASeedHasNoDisk) {
+  members_[1]->folder.clear();
+  for (std::size_t i = 0; i < 3; ++i) Start(i, /*bootstrap=*/true);
+  for (std::size_t i = 0; i < 3; ++i) AwaitStarted(i);
+  EXPECT_TRUE(Eventually(milliseconds(8000), [this] { return Put(0) && Holds(1) && Holds(2); }));
+}
+
 // Guards against a restart of all members that loses what was acknowledged.
 TEST_F(GroupTest, KeepsWhatWasAcknowledgedThroughARestartOfAll) {
   FormGroup();
--- a/tests/control/membership_planner_test.cc
+++ b/tests/control/membership_planner_test.cc
@@ -50,6 +50,18 @@
   EXPECT_EQ(Next(), "nothing");
 }
 
+// Guards against a vote that a restart of its member forgets, so that it may be given twice.
+TEST_F(MembershipPlannerTest, GivesNoVoteToAMemberWithoutDisk) {
+  Add(1, true, milliseconds(0));
+  Add(2, true, milliseconds(10));
+  Add(3, true, seconds(600));
+  Add(4, false, milliseconds(10));
+  membership_.mutable_members(3)->set_without_disk(true);
+  EXPECT_EQ(Next(), "nothing");
+  Add(5, false, milliseconds(10));
+  EXPECT_EQ(Next(), "remove 3");
+}
+
 // Guards against a member with an empty disk that stays under its old identity, whose vote nobody
 // gives any more.
 TEST_F(MembershipPlannerTest, RemovesTheFormerIdentityOfAnAddress) {
