Fade stored loads to the mean of the same service

Old samples of all servers faded to one mean, so a service with 6 slots was believed to have the 40 to 60 requests of a model engine, and as nothing was sent no new sample came. Ruled out: breakers (refusals began 4 s before the first lost answer) and full servers (14 of 4,423 arrivals were rejected).

The mean is now kept for each model or service. The test failed first: 0 of at least 12 requests were placed. A request that is dropped from the queue logs the time that it waited; it logged 0.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -71,8 +71,8 @@
   std::size_t subset_size = 240;
   /// Servers sampled per pick.
   std::size_t choices = 2;
-  /// A sample fades to the mean over the servers with the first half-life, and the mean to zero
-  /// with the second.
+  /// A sample fades to the mean over the servers of its model or service with the first half-life,
+  /// and the mean to zero with the second.
   common::Duration half_life = std::chrono::seconds(1);
   common::Duration mean_half_life = std::chrono::seconds(10);
   /// The server that the prefix hash chooses is used below this multiple of the mean load.
@@ -160,6 +160,8 @@
   struct Server {
     BackendDescription description;
     std::uint64_t hash = 0;
+    /// Position of its model and service in `groups_`.
+    std::size_t group = 0;
     std::uint32_t capacity = 1;
     std::uint32_t own = 0;
     std::uint32_t own_alone = 0;
@@ -202,16 +204,25 @@
     double total_load = 0;
   };
 
+  /// Servers of one model or service.
+  struct Group {
+    std::string name;
+    /// Mean of `others` over the servers; old samples fade to it.
+    double mean_others = 0;
+  };
+
   enum class Fit : std::uint8_t { kNone, kRoom, kPreempt };
 
   [[nodiscard]] Pool& PoolOf(const Capability& capability);
   [[nodiscard]] Pool BuildPool(const Capability& capability) const;
   [[nodiscard]] std::vector<std::uint32_t> ChooseSubset(std::vector<std::uint32_t> members) const;
   void FillSlots(Pool& pool) const;
+  void RefreshMeans(common::Time now);
   void RefreshLoads(Pool& pool);
   [[nodiscard]] double Load(const Server& server) const noexcept;
   static void UpdateClaim(Server& server, common::Time now);
-  [[nodiscard]] double OthersAt(const Server& server, double prior, common::Time now) const;
+  [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
+  [[nodiscard]] std::size_t GroupOf(const BackendDescription& description);
   [[nodiscard]] bool IsUsable(const Server& server, const PlacementRequest& request,
                               common::Time now) const;
   /// True when every usable server of the pool has an open breaker.
@@ -241,8 +252,7 @@
   std::optional<common::Time> refreshed_at_;
   /// Set during a pick from a pool whose breakers are all open.
   bool ignoring_breakers_ = false;
-  /// Mean of `others` over the servers; old samples fade to it.
-  double mean_others_ = 0;
+  std::vector<Group> groups_;
 };
 
 }  // namespace briarwood::routing
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -224,6 +224,7 @@
 void Exchange::OnDropped(routing::DropReason reason) {
   in_scheduler_ = false;
   if (state_ == State::kEnded) return;
+  if (queued_at_) queued_for_ += common::BootClock::now() - *std::exchange(queued_at_, std::nullopt);
   if (response_started_) {
     Fail(kUnavailable, NameOf(reason));
   } else if (reached_.empty()) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -34,6 +34,10 @@
   return mixed ^ (mixed >> 31U);
 }
 
+std::string GroupName(const BackendDescription& server) {
+  return server.model.value() + '/' + server.service;
+}
+
 bool Matches(const BackendDescription& server, const Capability& wanted) {
   if (!server.takes_requests || server.model != wanted.model || server.service != wanted.service) {
     return false;
@@ -51,6 +55,8 @@
 void Placement::SetBackends(const std::vector<BackendDescription>& backends) {
   std::vector<Server> servers;
   servers.reserve(backends.size());
+  groups_.clear();
+  refreshed_at_.reset();
   for (const BackendDescription& description : backends) {
     Server* known = Find(description.id);
     Server& server = servers.emplace_back(known != nullptr ? std::move(*known) : Server{});
@@ -60,6 +66,7 @@
     }
     server.description = description;
     server.hash = common::Hash64(description.id.value());
+    server.group = GroupOf(description);
   }
   servers_ = std::move(servers);
   index_.clear();
@@ -69,6 +76,15 @@
   pools_.clear();
 }
 
+std::size_t Placement::GroupOf(const BackendDescription& description) {
+  const std::string name = GroupName(description);
+  const auto found = std::find_if(groups_.begin(), groups_.end(),
+                                  [&](const Group& group) { return group.name == name; });
+  if (found != groups_.end()) return static_cast<std::size_t>(found - groups_.begin());
+  groups_.push_back({.name = name});
+  return groups_.size() - 1;
+}
+
 Placement::Server* Placement::Find(const common::BackendServerId& id) {
   const auto found = index_.find(id);
   return found == index_.end() ? nullptr : &servers_[found->second];
@@ -95,7 +111,7 @@
   server->full_until = {};
   const std::uint32_t here = sample.running_here.value_or(server->own);
   server->others = sample.running > here ? sample.running - here : 0;
-  server->others_now = OthersAt(*server, mean_others_, now);
+  server->others_now = OthersAt(*server, now);
   server->waiting = sample.waiting;
   server->waiting_now = sample.waiting;
   UpdateClaim(*server, now);
@@ -109,7 +125,8 @@
   server.claimed_at = now;
 }
 
-double Placement::OthersAt(const Server& server, double prior, common::Time now) const {
+double Placement::OthersAt(const Server& server, common::Time now) const {
+  const double prior = groups_[server.group].mean_others;
   if (!server.sampled_at) return prior;
   if (!options_.features.discount_by_age) return server.others;
   const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
@@ -118,7 +135,7 @@
 }
 
 PeerComparison& Placement::PeersOf(const Server& server) {
-  return peers_[server.description.model.value() + '/' + server.description.service];
+  return peers_[GroupName(server.description)];
 }
 
 void Placement::ObserveTokenGap(const common::BackendServerId& id, common::Duration gap,
@@ -134,17 +151,9 @@
 void Placement::Refresh(common::Time now) {
   if (refreshed_at_ && now - *refreshed_at_ < kRefreshInterval) return;
   refreshed_at_ = now;
-  double others = 0;
-  double sampled = 0;
-  for (const Server& server : servers_) {
-    if (!server.sampled_at || !server.alive) continue;
-    const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
-    others += server.others * std::exp2(-age_s / common::ToSeconds(options_.mean_half_life));
-    sampled += 1;
-  }
-  mean_others_ = sampled > 0 ? others / sampled : 0;
+  RefreshMeans(now);
   for (Server& server : servers_) {
-    server.others_now = OthersAt(server, mean_others_, now);
+    server.others_now = OthersAt(server, now);
     if (server.sampled_at) {
       const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
       server.waiting_now =
@@ -157,6 +166,21 @@
   for (auto& [capability, pool] : pools_) RefreshLoads(pool);
 }
 
+void Placement::RefreshMeans(common::Time now) {
+  std::vector<double> sampled(groups_.size());
+  for (Group& group : groups_) group.mean_others = 0;
+  for (const Server& server : servers_) {
+    if (!server.sampled_at || !server.alive) continue;
+    const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
+    groups_[server.group].mean_others +=
+        server.others * std::exp2(-age_s / common::ToSeconds(options_.mean_half_life));
+    sampled[server.group] += 1;
+  }
+  for (std::size_t group = 0; group < groups_.size(); ++group) {
+    if (sampled[group] > 0) groups_[group].mean_others /= sampled[group];
+  }
+}
+
 void Placement::RefreshLoads(Pool& pool) {
   pool.total_load = 0;
   for (const std::uint32_t member : pool.members) pool.total_load += Load(servers_[member]);
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -207,6 +207,34 @@
   EXPECT_TRUE(placement.Pick(Request(1), now).has_value());
 }
 
+// Load pattern: engines with dozens of running requests beside a plain service with few slots.
+// Guards against a service whose old samples fade to the mean of the engines: it was taken for full
+// although it was idle, and with nothing sent to it no new sample came.
+TEST(PlacementTest, ServiceWithFewSlotsIsNotFullBecauseEnginesAreBusy) {
+  Placement placement({.half_life = milliseconds(300), .mean_half_life = milliseconds(500)});
+  std::vector<BackendDescription> servers = Engines(12, 64);
+  for (std::size_t index = 12; index < 15; ++index) {
+    servers.push_back({.id = Id(index), .service = "app", .max_concurrency = 6});
+  }
+  placement.SetBackends(servers);
+  for (std::size_t index = 12; index < 15; ++index) {
+    placement.Report({.id = Id(index), .taken_at = kStart, .running = 1, .capacity = 6}, kStart);
+  }
+  const common::Time later = kStart + seconds(2);
+  for (std::size_t index = 0; index < 12; ++index) {
+    placement.Report({.id = Id(index), .taken_at = later, .running = 60, .capacity = 64}, later);
+  }
+  placement.Refresh(later);
+  PlacementRequest request{.tier = common::Tier(2)};
+  request.capability.service = "app";
+  int sent = 0;
+  while (const auto choice = placement.Pick(request, later)) {
+    placement.OnSent(choice->id, common::Tier(2), false, later);
+    ++sent;
+  }
+  EXPECT_GE(sent, 3 * 4);
+}
+
 // Load pattern: long prompts beside short ones. Guards against a placement by count: an engine with
 // three long prompts still to read takes the next request although one with five short ones would
 // answer it sooner.
