Deliver no response that names no request on a used connection

The check compared ids only where the response had one. Ruled out: an extra response with the id of the other request; that is skipped and logged.

Servers name the request that they answer, so on a connection that has served another request an unnamed response is skipped. An unnamed refusal was believed too, and a call that may run once would have been sent again while it ran. A connection on which another server answered (421) is closed, not kept.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -273,6 +273,7 @@
                                                .time_left = std::max(left, milliseconds(1)),
                                                .tier = tier_,
                                                .last_event = last_event_});
+  attempt_->used_connection = attempt_->connection->connected();
   const std::uint64_t attempt = attempt_number_;
   const auto self = shared_from_this();
   const auto current = [self, attempt] {
@@ -295,9 +296,17 @@
                                   }});
 }
 
+bool Exchange::BelongsHere(const ResponseFacts& facts) const {
+  if (facts_.id.empty()) return true;
+  // A server that answers a request names it. On a used connection a response without a name may be
+  // one too many for the request before.
+  if (facts.request_id.empty()) return !attempt_->used_connection;
+  return facts.request_id == facts_.id;
+}
+
 bool Exchange::OnHead(const http::ResponseHead& head) {
   ResponseFacts facts = owner_.options_.codec.read_response(head);
-  if (!facts.request_id.empty() && !facts_.id.empty() && facts.request_id != facts_.id) {
+  if (!BelongsHere(facts)) {
     owner_.log_.Warn(LogLine("foreign_response")
                          .Add("request", facts_.id)
                          .Add("backend", attempt_->backend_server.value())
@@ -472,6 +481,8 @@
                        .Add("status", head.status)
                        .Add("attempt", sends_)
                        .text());
+  // The connection leads to another server than the one it is kept for.
+  if (other) attempt_->connection->Close();
   ReleaseAttempt(other ? Verdict::kFailure : Verdict::kFull);
   repeat_pending_ = true;
   if (TryAgain(/*ran=*/false)) return;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -22,6 +22,8 @@
   http::ResponseHead head;
   ResponseFacts facts;
   bool has_head = false;
+  /// The connection has served another request before.
+  bool used_connection = false;
   std::string body;
   EventSplitter events;
   bool streaming = false;
@@ -57,6 +59,8 @@
   [[nodiscard]] routing::ClassPolicy Policy() const;
   [[nodiscard]] double Work() const;
   void Send();
+  /// \returns false for a response that answers another request.
+  [[nodiscard]] bool BelongsHere(const ResponseFacts& facts) const;
   bool OnHead(const http::ResponseHead& head);
   void OnData(std::string_view data);
   void OnEvent(const StreamEvent& event);
--- a/tests/forwarding/forwarding_test.cc
+++ b/tests/forwarding/forwarding_test.cc
@@ -371,5 +371,42 @@
   EXPECT_EQ(backend.requests().size(), taken);
 }
 
+// Guards against an extra response that a faulty server sends behind a complete one: it arrived just
+// after the next request had been sent on the connection, named no request, and was delivered.
+TEST_F(ForwardingTest, DoesNotDeliverAResponseThatNamesNoRequestOnAUsedConnection) {
+  std::atomic<int> calls = 0;
+  FakeBackend server([&](const auto& connection, const auto& request) {
+    if (++calls == 2) {
+      connection.Send("HTTP/1.1 200 OK\r\nBriarwood-Signature: other\r\nContent-Length: 5\r\n\r\nextra");
+    }
+    connection.Send(Answer(request, "own"));
+  });
+  List("a-1", server.address());
+  StartReadyEntry();
+  EXPECT_NE(Call("GET /read/1").find("own"), std::string::npos);
+  const std::string second = Call("GET /read/2");
+  EXPECT_EQ(second.find("extra"), std::string::npos) << second;
+  EXPECT_NE(second.find("own"), std::string::npos) << second;
+}
+
+// Guards against an extra refusal behind a complete response, which would say of the next request
+// that it has not run.
+TEST_F(ForwardingTest, DoesNotBelieveARefusalThatNamesNoRequestOnAUsedConnection) {
+  std::atomic<int> calls = 0;
+  FakeBackend server([&](const auto& connection, const auto& request) {
+    if (++calls == 2) {
+      connection.Send(
+          "HTTP/1.1 503 Service Unavailable\r\nBriarwood-Not-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n");
+    }
+    connection.Send(Answer(request, "own"));
+  });
+  List("a-1", server.address());
+  StartReadyEntry();
+  EXPECT_NE(Call("POST /book/1", "", "b").find("own"), std::string::npos);
+  EXPECT_NE(Call("POST /book/2", "", "b").find("own"), std::string::npos);
+  EXPECT_EQ(calls, 2);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
