Bound the prompts that wait at engines, and serve those in time first

Ruled out: old load figures (exchanging loads between entries gained nothing) and mixing of prompts and streams (dividing the engines lost).

Each entry bounds the load of the prompts it lets wait for their first token at a service.

--- a/include/briarwood/routing/dispatch.h
+++ b/include/briarwood/routing/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 
 #include "briarwood/common/time.h"
@@ -16,7 +17,9 @@
 
 /// Takes the next request that can be placed from the queue and counts it as in flight. The entry
 /// calls it until it returns nothing: after an arrival, after a request ends, and on its timer.
-[[nodiscard]] std::optional<Dispatch> NextDispatch(Scheduler& scheduler, Placement& placement,
-                                                   common::Time now);
+/// \param admits  optional: says whether a request may be sent now, apart from room at a server
+[[nodiscard]] std::optional<Dispatch> NextDispatch(
+    Scheduler& scheduler, Placement& placement, common::Time now,
+    const std::function<bool(const QueuedRequest&, common::Tier)>& admits = nullptr);
 
 }  // namespace briarwood::routing
--- a/include/briarwood/routing/scheduler.h
+++ b/include/briarwood/routing/scheduler.h
@@ -39,6 +39,9 @@
   bool slack = true;
   bool fair_sharing = true;
   bool drop_late = true;
+  /// Instead of being dropped, a request whose first token can no longer be on time goes behind the
+  /// requests of its tier that can be.
+  bool demote_late = false;
 };
 
 struct SchedulerOptions {
@@ -166,6 +169,20 @@
     std::deque<QueuedRequest> queue;
   };
 
+  struct LateRequest {
+    std::uint32_t customer_index = 0;
+    QueuedRequest request;
+  };
+
+  /// Class in the order in which classes are asked for a request.
+  struct ClassTurn {
+    std::uint32_t class_index = 0;
+    /// The class is owed its floor.
+    bool owed = false;
+    /// Asks for a request that is late.
+    bool late = false;
+  };
+
   struct ClassState {
     ClassPolicy policy;
     std::vector<CustomerState> customers;
@@ -174,7 +191,10 @@
     std::set<std::pair<double, std::uint32_t>> active;
     /// Counter of the customer picked last; new and returning customers start here.
     double minimum = 0;
+    /// Requests in the queues of the customers.
     std::size_t queued = 0;
+    /// Requests whose first token is late already, in the order in which that was noticed.
+    std::deque<LateRequest> late;
     std::size_t running = 0;
     TokenWindow served;
   };
@@ -201,12 +221,15 @@
                                                    common::Time now) const;
   [[nodiscard]] bool IsOwed(ClassState& state, common::Time now);
   [[nodiscard]] common::Duration Slack(const ClassState& state, common::Time now) const;
-  [[nodiscard]] std::vector<std::pair<std::uint32_t, bool>> ClassOrder(common::Time now);
+  [[nodiscard]] std::vector<ClassTurn> ClassOrder(common::Time now);
+  void DropPastDeadline(ClassState& state, common::Time now);
+  [[nodiscard]] std::optional<PickedRequest> PickLate(std::uint32_t class_index, common::Time now,
+                                                      const Placeable& placeable);
   [[nodiscard]] std::optional<std::uint32_t> PickCustomer(ClassState& state, bool owed,
                                                           common::Time now,
                                                           const Placeable& placeable);
   PickedRequest StartRunning(std::uint32_t class_index, std::uint32_t customer_index,
-                             bool floor_protected);
+                             QueuedRequest request, bool floor_protected);
   [[nodiscard]] std::optional<DroppedRequest> ShedFrom(ClassState& state);
   [[nodiscard]] std::optional<DroppedRequest> ShedLowestTier();
   std::optional<RunningState> TakeRunning(const common::RequestId& id);
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -55,6 +55,12 @@
 constexpr milliseconds kLeastStall{250};
 constexpr milliseconds kLeastStalledGap{1000};
 
+/// Part of the target of the first event that may pass at the engine; the rest is for the way and
+/// the queue.
+constexpr double kEngineShare = 0.6;
+/// A first event tells as much about the load as this many pauses.
+constexpr double kFirstEventWeight = 4;
+
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kMisdirected = 421;
@@ -246,11 +252,16 @@
   attempt_->started_at = now;
   attempt_->heard_at = now;
   attempt_->work = dispatch.picked.request.work;
+  if (attempt_->work > 1) {
+    attempt_->prompt_work = attempt_->work;
+    owner_.StateOf(service_).prompts.OnSent(attempt_->prompt_work);
+  }
   attempt_->connection = owner_.pool_.Take(dispatch.choice.id, now);
   if (attempt_->connection == nullptr) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
                               attempt_->work);
     owner_.placement_.OnFull(dispatch.choice.id, /*alone=*/false, now);
+    EndPrompt();
     attempt_.reset();
     state_ = State::kQueued;
     queued_at_ = now;
@@ -333,9 +344,29 @@
   return true;
 }
 
+void Exchange::EndPrompt() {
+  owner_.StateOf(service_).prompts.OnDone(std::exchange(attempt_->prompt_work, 0));
+}
+
 void Exchange::MarkBegan() {
-  if (attempt_->began) return;
+  const common::Time now = common::BootClock::now();
+  if (attempt_->began) {
+    const milliseconds gap(route_->event_gap_target_ms());
+    if (attempt_->streaming && gap > milliseconds(0)) {
+      owner_.StateOf(service_).prompts.Observe(now - attempt_->event_at > gap, 1, now);
+    }
+    attempt_->event_at = now;
+    return;
+  }
   attempt_->began = true;
+  attempt_->event_at = now;
+  if (attempt_->prompt_work > 0) {
+    const auto limit = common::FromSeconds(
+        kEngineShare * common::ToSeconds(milliseconds(route_->target_ms())));
+    owner_.StateOf(service_).prompts.Observe(now - attempt_->started_at > limit, kFirstEventWeight,
+                                             now);
+  }
+  EndPrompt();
   if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
   owner_.placement_.OnWorkDone(attempt_->backend_server, attempt_->work - 1);
   attempt_->work = 1;
@@ -565,6 +596,7 @@
 
 void Exchange::ReleaseAttempt(Verdict verdict) {
   const common::Time now = common::BootClock::now();
+  EndPrompt();
   Attempt attempt = std::move(*attempt_);
   attempt_.reset();
   if (attempt.connection == nullptr) return;
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -45,8 +45,10 @@
 routing::Scheduler MakeScheduler() {
   routing::SchedulerOptions options;
   options.total_queue_limit = kQueueLimit;
-  // An answer after the target is still worth more to its caller than none.
+  // An answer after the target is still worth more to its caller than none, but less than one in
+  // time.
   options.features.drop_late = false;
+  options.features.demote_late = true;
   return routing::Scheduler::Create(std::move(options)).value();
 }
 
@@ -147,7 +149,9 @@
 Forwarder::ServiceState& Forwarder::StateOf(const std::string& service) {
   const auto found = services_.find(service);
   if (found != services_.end()) return found->second;
-  return services_.emplace(service, ServiceState{.scheduler = MakeScheduler(), .exchanges = {}})
+  return services_.emplace(service, ServiceState{.scheduler = MakeScheduler(),
+                                                    .prompts = routing::PromptLimiter(),
+                                                    .exchanges = {}})
       .first->second;
 }
 
@@ -182,7 +186,10 @@
   ServiceState& state = StateOf(service);
   const common::Time now = common::BootClock::now();
   placement_.Refresh(now);
-  while (auto dispatch = routing::NextDispatch(state.scheduler, placement_, now)) {
+  const auto admits = [&state](const routing::QueuedRequest& request, common::Tier tier) {
+    return request.work <= 1 || state.prompts.Admits(request.work, tier);
+  };
+  while (auto dispatch = routing::NextDispatch(state.scheduler, placement_, now, admits)) {
     const auto found = state.exchanges.find(dispatch->picked.request.id);
     if (found == state.exchanges.end()) continue;
     const std::shared_ptr<Exchange> exchange = found->second->shared_from_this();
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -17,7 +17,11 @@
   common::Tier tier;
   common::Time started_at;
   common::Time heard_at;
+  /// Time of the last event of the stream.
+  common::Time event_at;
   double work = 1;
+  /// Part of the service's prompt limit that the attempt holds until its first event.
+  double prompt_work = 0;
   std::shared_ptr<http::OutgoingConnection> connection;
   http::ResponseHead head;
   ResponseFacts facts;
@@ -69,7 +73,9 @@
   void OnBrokenAttempt(http::CallEnd end);
   void OnRejected();
   void OnGone();
+  /// Counts the first event of an attempt, and the pauses after it.
   void MarkBegan();
+  void EndPrompt();
 
   /// Ends the attempt in progress at the scheduler, the placement and the pool.
   enum class Verdict : std::uint8_t { kSuccess, kFailure, kFull, kNone };
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -19,6 +19,7 @@
 #include "briarwood/routing/dispatch.h"
 #include "briarwood/routing/forward_table.h"
 #include "briarwood/routing/placement.h"
+#include "briarwood/routing/prompt_limiter.h"
 #include "briarwood/routing/repeat_budget.h"
 #include "briarwood/routing/scheduler.h"
 #include "fleet.pb.h"
@@ -72,6 +73,7 @@
   /// Queue and backend servers of one service.
   struct ServiceState {
     routing::Scheduler scheduler;
+    routing::PromptLimiter prompts;
     /// Requests that are queued or run, by the id that the scheduler knows.
     std::map<common::RequestId, Exchange*> exchanges;
   };
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -14,10 +14,13 @@
 
 }  // namespace
 
-std::optional<Dispatch> NextDispatch(Scheduler& scheduler, Placement& placement, common::Time now) {
+std::optional<Dispatch> NextDispatch(
+    Scheduler& scheduler, Placement& placement, common::Time now,
+    const std::function<bool(const QueuedRequest&, common::Tier)>& admits) {
   std::optional<PlacementChoice> choice;
   auto picked = scheduler.PickNext(
       now, [&](const QueuedRequest& request, common::Tier tier, bool floor_owed) {
+        if (admits && !admits(request, tier)) return false;
         choice = placement.Pick({.capability = request.capability,
                                  .tier = tier,
                                  .prefix_hash = request.prefix_hash,
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -56,7 +56,7 @@
   auto place = classes_.end();
   if (classes_.size() >= kMostClasses) {
     place = std::find_if(classes_.begin(), classes_.end(), [](const ClassState& state) {
-      return state.queued == 0 && state.running == 0;
+      return state.queued == 0 && state.late.empty() && state.running == 0;
     });
     if (place == classes_.end()) return false;
     class_index_.erase(place->policy.id);
@@ -164,6 +164,13 @@
 }
 
 std::optional<DroppedRequest> Scheduler::ShedFrom(ClassState& state) {
+  if (!state.late.empty()) {
+    DroppedRequest shed{.request = std::move(state.late.back().request),
+                        .reason = DropReason::kQueueFull};
+    state.late.pop_back();
+    --queued_;
+    return shed;
+  }
   // The customer with the longest queue for its weight loses its newest request, so that one
   // customer's burst does not push out the others.
   std::optional<std::uint32_t> longest;
@@ -183,9 +190,11 @@
 std::optional<DroppedRequest> Scheduler::ShedLowestTier() {
   ClassState* lowest = nullptr;
   for (ClassState& state : classes_) {
-    if (state.queued == 0) continue;
+    const std::size_t queued = state.queued + state.late.size();
+    if (queued == 0) continue;
     const bool lower = lowest == nullptr || state.policy.tier > lowest->policy.tier ||
-                       (state.policy.tier == lowest->policy.tier && state.queued > lowest->queued);
+                       (state.policy.tier == lowest->policy.tier &&
+                        queued > lowest->queued + lowest->late.size());
     if (lower) lowest = &state;
   }
   if (lowest == nullptr) return std::nullopt;
@@ -195,7 +204,8 @@
 std::optional<DropReason> Scheduler::Lateness(const QueuedRequest& request,
                                               common::Time now) const {
   if (now >= request.deadline) return DropReason::kDeadline;
-  if (!options_.features.drop_late || request.resume_from > 0) return std::nullopt;
+  const bool watched = options_.features.drop_late || options_.features.demote_late;
+  if (!watched || request.resume_from > 0) return std::nullopt;
   // The prediction counts for at most half of the target. Otherwise a prediction above the target
   // drops every request of a class, and nothing is left to correct it.
   const common::Duration target = request.first_token_deadline - request.enqueued_at;
@@ -208,7 +218,25 @@
   while (!state.customers[customer_index].queue.empty()) {
     const auto reason = Lateness(state.customers[customer_index].queue.front(), now);
     if (!reason) return;
-    dropped_.push_back({.request = PopFront(state, customer_index), .reason = *reason});
+    QueuedRequest request = PopFront(state, customer_index);
+    if (*reason == DropReason::kFirstTokenLate && options_.features.demote_late) {
+      state.late.push_back({.customer_index = customer_index, .request = std::move(request)});
+      ++queued_;
+      continue;
+    }
+    dropped_.push_back({.request = std::move(request), .reason = *reason});
+  }
+}
+
+void Scheduler::DropPastDeadline(ClassState& state, common::Time now) {
+  for (auto late = state.late.begin(); late != state.late.end();) {
+    if (now < late->request.deadline) {
+      ++late;
+      continue;
+    }
+    dropped_.push_back({.request = std::move(late->request), .reason = DropReason::kDeadline});
+    late = state.late.erase(late);
+    --queued_;
   }
 }
 
@@ -218,6 +246,7 @@
     indexes.reserve(state.active.size());
     for (const auto& [counter, index] : state.active) indexes.push_back(index);
     for (const std::uint32_t index : indexes) DropLateHeads(state, index, now);
+    DropPastDeadline(state, now);
   }
 }
 
@@ -241,10 +270,9 @@
   return head.first_token_deadline - now - predictor_.Predict(head.input_tokens);
 }
 
-std::vector<std::pair<std::uint32_t, bool>> Scheduler::ClassOrder(common::Time now) {
+std::vector<Scheduler::ClassTurn> Scheduler::ClassOrder(common::Time now) {
   struct Candidate {
-    std::uint32_t index;
-    bool owed;
+    ClassTurn turn;
     std::uint32_t tier;
     common::Duration slack;
   };
@@ -252,22 +280,29 @@
   candidates.reserve(classes_.size());
   for (std::uint32_t index = 0; index < classes_.size(); ++index) {
     ClassState& state = classes_[index];
-    if (state.queued == 0) continue;
-    candidates.push_back({.index = index,
-                          .owed = IsOwed(state, now),
-                          .tier = options_.features.tiers ? state.policy.tier.value() : 0,
-                          .slack = Slack(state, now)});
+    const std::uint32_t tier = options_.features.tiers ? state.policy.tier.value() : 0;
+    if (state.queued > 0) {
+      candidates.push_back({.turn = {.class_index = index, .owed = IsOwed(state, now)},
+                            .tier = tier,
+                            .slack = Slack(state, now)});
+    }
+    if (!state.late.empty()) {
+      candidates.push_back({.turn = {.class_index = index, .late = true},
+                            .tier = tier,
+                            .slack = state.late.front().request.deadline - now});
+    }
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& left, const Candidate& right) {
-              if (left.owed != right.owed) return left.owed;
+              if (left.turn.owed != right.turn.owed) return left.turn.owed;
               if (left.tier != right.tier) return left.tier < right.tier;
+              if (left.turn.late != right.turn.late) return right.turn.late;
               if (left.slack != right.slack) return left.slack < right.slack;
-              return left.index < right.index;
+              return left.turn.class_index < right.turn.class_index;
             });
-  std::vector<std::pair<std::uint32_t, bool>> order;
+  std::vector<ClassTurn> order;
   order.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) order.emplace_back(candidate.index, candidate.owed);
+  for (const Candidate& candidate : candidates) order.push_back(candidate.turn);
   return order;
 }
 
@@ -291,17 +326,38 @@
 }
 
 std::optional<PickedRequest> Scheduler::PickNext(common::Time now, const Placeable& placeable) {
-  for (const auto& [class_index, owed] : ClassOrder(now)) {
-    const auto customer = PickCustomer(classes_[class_index], owed, now, placeable);
-    if (customer) return StartRunning(class_index, *customer, owed);
+  for (const ClassTurn& turn : ClassOrder(now)) {
+    if (turn.late) {
+      if (auto picked = PickLate(turn.class_index, now, placeable)) return picked;
+      continue;
+    }
+    ClassState& state = classes_[turn.class_index];
+    const auto customer = PickCustomer(state, turn.owed, now, placeable);
+    if (customer) {
+      return StartRunning(turn.class_index, *customer, PopFront(state, *customer), turn.owed);
+    }
   }
   return std::nullopt;
 }
 
+std::optional<PickedRequest> Scheduler::PickLate(std::uint32_t class_index, common::Time now,
+                                                 const Placeable& placeable) {
+  ClassState& state = classes_[class_index];
+  DropPastDeadline(state, now);
+  if (state.late.empty()) return std::nullopt;
+  if (placeable && !placeable(state.late.front().request, state.policy.tier, /*floor_owed=*/false)) {
+    return std::nullopt;
+  }
+  LateRequest late = std::move(state.late.front());
+  state.late.pop_front();
+  --queued_;
+  return StartRunning(class_index, late.customer_index, std::move(late.request),
+                      /*floor_protected=*/false);
+}
+
 PickedRequest Scheduler::StartRunning(std::uint32_t class_index, std::uint32_t customer_index,
-                                      bool floor_protected) {
+                                      QueuedRequest request, bool floor_protected) {
   ClassState& state = classes_[class_index];
-  QueuedRequest request = PopFront(state, customer_index);
   const CustomerState& customer = state.customers[customer_index];
   state.minimum = std::max(state.minimum, customer.counter);
   RunningState running = {.class_index = class_index,
@@ -390,6 +446,13 @@
 
 bool Scheduler::Cancel(const common::RequestId& id) {
   for (ClassState& state : classes_) {
+    const auto late = std::find_if(state.late.begin(), state.late.end(),
+                                   [&](const LateRequest& item) { return item.request.id == id; });
+    if (late != state.late.end()) {
+      state.late.erase(late);
+      --queued_;
+      return true;
+    }
     for (const auto& [counter, index] : state.active) {
       CustomerState& customer = state.customers[index];
       const auto found = std::find_if(customer.queue.begin(), customer.queue.end(),
@@ -407,7 +470,9 @@
 
 std::size_t Scheduler::queued(const common::ClassId& class_id) const {
   const auto found = class_index_.find(class_id);
-  return found == class_index_.end() ? 0 : classes_[found->second].queued;
+  if (found == class_index_.end()) return 0;
+  const ClassState& state = classes_[found->second];
+  return state.queued + state.late.size();
 }
 
 double Scheduler::VirtualTokens(const common::ClassId& class_id,
--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -195,5 +195,46 @@
   EXPECT_EQ(scheduler.queued(), Scheduler::kMostClasses);
 }
 
+// Load pattern: a burst beyond what the servers can do, in which each request waits until it is just
+// too late and is then served before one that would be in time.
+// Guards against a queue in which all are late though most could be in time.
+TEST(SchedulerTest, LateRequestsGoBehindThoseInTime) {
+  SchedulerOptions options{.classes = {Policy("digest", 1), Policy("low", 2)}};
+  options.features.drop_late = false;
+  options.features.demote_late = true;
+  Scheduler scheduler = Scheduler::Create(std::move(options)).value();
+  EXPECT_TRUE(scheduler.Enqueue(Request(1, "digest", "a"), kStart).empty());
+  const common::Time later = kStart + seconds(6);
+  EXPECT_TRUE(scheduler.Enqueue(Request(2, "digest", "a"), later).empty());
+  EXPECT_TRUE(scheduler.Enqueue(Request(3, "low", "a"), later).empty());
+  EXPECT_EQ(scheduler.queued(), 3U);
+  EXPECT_EQ(scheduler.PickNext(later)->request.id.value(), "digesta2");
+  // A late one of a higher tier still goes before one of a lower tier.
+  EXPECT_EQ(scheduler.PickNext(later)->request.id.value(), "digesta1");
+  EXPECT_EQ(scheduler.PickNext(later)->request.id.value(), "lowa3");
+  EXPECT_EQ(scheduler.queued(), 0U);
+  EXPECT_TRUE(scheduler.TakeDropped().empty());
+}
+
+// Guards against a late request that waits for ever, is shed last, or cannot be cancelled.
+TEST(SchedulerTest, LateRequestsEndAtTheirDeadlineOrWhenCancelled) {
+  SchedulerOptions options{.classes = {Policy("digest", 1)}};
+  options.features.drop_late = false;
+  options.features.demote_late = true;
+  Scheduler scheduler = Scheduler::Create(std::move(options)).value();
+  for (int i = 1; i <= 3; ++i) {
+    EXPECT_TRUE(scheduler.Enqueue(Request(i, "digest", "a"), kStart).empty());
+  }
+  scheduler.DropLate(kStart + seconds(6));
+  EXPECT_EQ(scheduler.queued(common::ClassId("digest")), 3U);
+  EXPECT_TRUE(scheduler.Cancel(common::RequestId("digesta2")));
+  EXPECT_EQ(scheduler.queued(), 2U);
+  scheduler.DropLate(kStart + seconds(601));
+  EXPECT_EQ(scheduler.queued(), 0U);
+  const auto dropped = scheduler.TakeDropped();
+  ASSERT_EQ(dropped.size(), 2U);
+  EXPECT_EQ(dropped[0].reason, DropReason::kDeadline);
+}
+
 }  // namespace
 }  // namespace briarwood::routing
