Do not let silent servers use up the bound of waiting prompts

A prompt held its part of the bound until its first event or its end. With servers that accept and stay silent, requests that may not be repeated hold it until their deadline: in the test 15 prompts of four silent servers filled the bound and 6 of 60 callers were answered in 3 s. A prompt whose server is silent for longer than its target is no longer counted, and is observed as late. Test failed first (6 answered, at least 10 wanted).

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -642,6 +642,11 @@
   }
   if (state_ != State::kRunning || !attempt_) return;
   if (request_->buffered_bytes() <= kMostBuffered) attempt_->connection->PauseReading(false);
+  if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
+    // A server that is silent must not hold back the prompts for the others.
+    owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
+    EndPrompt();
+  }
   if (now < deadline_ && IsStalled(now)) {
     LeaveStalledBackend(now);
     return;
--- a/tests/forwarding/forwarding_test.cc
+++ b/tests/forwarding/forwarding_test.cc
@@ -415,5 +415,37 @@
   EXPECT_EQ(calls, 2);
 }
 
+// Load pattern: most servers of a service fall silent while prompts keep arriving.
+// Guards against a bound of waiting prompts that is used up by silent servers, so that nothing is
+// sent to the one that works until their requests reach their deadlines.
+TEST_F(ForwardingTest, SilentServersDoNotUseUpTheBoundOfWaitingPrompts) {
+  std::vector<std::unique_ptr<FakeBackend>> silent;
+  for (int i = 0; i < 4; ++i) {
+    silent.push_back(std::make_unique<FakeBackend>([](const auto&, const auto&) {}));
+    List("llm-silent-" + std::to_string(i), silent.back()->address());
+  }
+  FakeBackend works([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+  });
+  List("llm-works", works.address());
+  StartReadyEntry();
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  constexpr int kCallers = 60;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      const std::string response =
+          Call("POST /ask/x", "Briarwood-Token-Usage: 8000,50\r\n", "prompt");
+      if (response.find("piece1") != std::string::npos) ++answered;
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  // 15 prompts of 9 units use up the first bound of 120; without further ones a fifth is answered.
+  EXPECT_GE(answered, 10);
+  node_.reset();
+  for (std::thread& caller : callers) caller.join();
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
