Keep control VMs without a disk out of the group, and report usage while leaders change

Every member read the platform's list. A member that the group had replaced ended its process with status 1.

Change: a process without a data folder is a ControlRelay, which names the members and redirects the operator. Only the leader reads the list; other members request it and read by themselves when it is 1.2 s old. A leader acts at once unless it has acted in an earlier term within the last 3 s, which is what the platform's order A, B, A rules out. A removed member joins again inside its process. Entries and relays order the members by rendezvous hashing, and entries report usage every 400 ms instead of 120 ms in a large fleet.

Conclusion: the cost of control no longer grows with the VMs without a disk.

--- a/include/briarwood/control/control_daemon.h
+++ b/include/briarwood/control/control_daemon.h
@@ -26,6 +26,9 @@
   common::Incarnation incarnation;
   /// Called once after a fatal error; the process should exit then.
   std::function<void(const std::string& reason)> on_failure;
+  /// Called once, on a thread of the daemon, after the group has removed this member. The daemon
+  /// erases its state when it is destroyed; a new one of the same process then joins the group.
+  std::function<void()> on_removed;
   /// Parses configuration documents.
   ConfigurationParser parser = SettingsParser();
   /// Receives reports and orders; by default these are sent to settings.platform_url over HTTP.
--- a/include/briarwood/control/leader_duties.h
+++ b/include/briarwood/control/leader_duties.h
@@ -31,6 +31,10 @@
   /// Delay after a report without an acknowledgement, since the platform may be slow or
   /// unreachable.
   common::Duration report_retry_delay{};
+  /// Minimum time between two turns of one process as the holder of the duties, if another process
+  /// may have held them in between.
+  common::Duration holder_change{};
+  std::function<common::Time()> now = [] { return common::BootClock::now(); };
 };
 
 /// Duties of the leader: closes usage windows and reports them to the platform, sends orders to the
@@ -40,6 +44,10 @@
 /// send. A report is sent again, with the same bytes, until its acknowledgement is committed. An
 /// order is sent at most once: one without a response is looked up in the platform's list of
 /// orders, and marked as expired when it is not listed after its expiry.
+///
+/// The platform takes calls of the holders A, B and A within `holder_change` as two holders at the
+/// same time. A new leader may therefore send at once, unless it has sent as the leader of an
+/// earlier term within that time. A process does not know what it sent before its start.
 class LeaderDuties {
  public:
   /// An order without a response is marked as expired this long after its expiry, so that one still
@@ -47,13 +55,15 @@
   static constexpr std::chrono::milliseconds kExpiryMargin{10'000};
 
   LeaderDuties(DutyContext context, PlatformPort platform)
-      : context_(std::move(context)), platform_(std::move(platform)) {}
+      : context_(std::move(context)), platform_(std::move(platform)), last_sent_(context_.now()) {}
 
   /// Performs the duties that are due. Does nothing on a member that does not lead.
   void Run();
 
  private:
   [[nodiscard]] std::uint64_t NowMs() const;
+  /// \returns true if this process may call the platform as the holder of the duties.
+  [[nodiscard]] bool MaySend();
   void DeclareDead();
   void CloseWindow();
   void SendReports();
@@ -69,6 +79,9 @@
   /// Term in which the platform rejected a report because of a higher fencing token.
   common::Term rejected_term_;
   common::Time next_report_at_;
+  /// Term in which this process last sent something, and when; initially its start.
+  common::Term sent_term_;
+  common::Time last_sent_;
   /// Dead incarnations whose declaration is not committed yet.
   std::vector<membership::DeadIncarnation> dead_;
 };
--- a/include/briarwood/distribution/sync_client.h
+++ b/include/briarwood/distribution/sync_client.h
@@ -65,7 +65,8 @@
   /// Syncs as soon as the call in progress has ended.
   void SyncNow();
 
-  /// Replaces the possible parents, for example with the entries that a parent listed.
+  /// Replaces the possible parents, for example with the entries that a parent listed. The next
+  /// call goes to the first of them if the list differs from the previous one.
   void SetParents(std::vector<std::string> parents);
 
   /// \returns the address of the parent that is called next; empty without parents.
--- a/include/briarwood/proposals/usage_reporter.h
+++ b/include/briarwood/proposals/usage_reporter.h
@@ -24,6 +24,12 @@
   std::function<void(common::Incarnation entry, std::uint64_t committed_below)> on_committed;
 };
 
+/// \returns the period between two reports of one entry. It grows with the number of entries, so
+/// that the load on the leader does not, up to a limit: what a crashed entry has not reported is
+/// lost, and after a crash of half of the entries that must stay below the accuracy of a usage
+/// window. \param entries  number of entries of the fleet; 0 if unknown
+[[nodiscard]] std::chrono::milliseconds UsageReportPeriod(std::uint32_t entries) noexcept;
+
 /// Holds billing records until a majority of control members has stored them, and proposes those of
 /// the incarnations that this process reports for. Thread-safe.
 class UsageReporter {
@@ -38,6 +44,9 @@
   /// Replaces the control members to which batches are proposed.
   void SetMembers(std::vector<std::string> members) { proposer_.SetMembers(std::move(members)); }
 
+  /// Replaces the period between two proposals.
+  void SetPeriod(std::chrono::milliseconds period);
+
   /// Drops records that another process has committed.
   void Acknowledge(const schema::AcknowledgeUsage& acknowledgement);
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -17,6 +17,7 @@
 #include "briarwood/control/fleet_view.h"
 #include "briarwood/control/group_start.h"
 #include "briarwood/control/leader_duties.h"
+#include "briarwood/control/list_schedule.h"
 #include "briarwood/control/member_identity.h"
 #include "briarwood/control/membership_planner.h"
 #include "briarwood/distribution/sync_server.h"
@@ -51,10 +52,12 @@
 constexpr milliseconds kGroupMaxConfirmationAge{1000};
 /// Time without a confirmation after which a member checks whether the group has removed it.
 constexpr milliseconds kRemovalCheckDelay{3000};
-/// The platform's list lags by nearly a second, and a backend server that leaves must get no new
-/// work after three seconds. With half a second for the sync, this period tolerates one failed
-/// read.
-constexpr milliseconds kBackendListPeriod{600};
+/// How often a member checks whether it has to read or request the list of backend servers. The
+/// platform's list lags by nearly a second, and a backend server that leaves must get no new work
+/// after three seconds: with the leader's reads, the requests of the members and the syncs of the
+/// entries that takes 1.5 s, so that one failed read is tolerated.
+constexpr milliseconds kBackendListPollPeriod{100};
+constexpr milliseconds kBackendListTimeout{300};
 
 MembershipPlannerOptions PlannerOptions(const schema::ControlSettings& settings) {
   MembershipPlannerOptions options;
@@ -335,20 +338,17 @@
   void AddGroupState(const schema::SyncRequest& request, schema::SyncResponse& response) {
     for (const std::string& address : MemberAddresses()) response.add_control_rpc(address);
     response.set_agreed_unix_ms(static_cast<std::uint64_t>(AgreedWallClock().count()));
-    if (request.backends_age_ms_plus_one() == 0) return;
-    const common::Time now = common::TimerService::Now();
-    const std::lock_guard lock(backends_mutex_);
-    if (!backends_read_at_) return;
-    const auto age = std::chrono::ceil<milliseconds>(now - *backends_read_at_);
-    if (static_cast<std::uint64_t>(age.count()) + 1 >= request.backends_age_ms_plus_one()) return;
-    schema::BackendList& list = *response.mutable_backends();
-    if (request.backends_digest() == backends_.digest()) {
-      list.set_digest(backends_.digest());
-      list.set_unchanged(true);
-    } else {
-      list = backends_;
+    if (auto newer = NewerBackends(request.backends_age_ms_plus_one(), request.backends_digest())) {
+      *response.mutable_backends() = std::move(*newer);
     }
-    list.set_age_ms(static_cast<std::uint64_t>(age.count()));
+  }
+
+  [[nodiscard]] std::optional<schema::BackendList> NewerBackends(std::uint64_t age_ms_plus_one,
+                                                                 std::uint64_t digest) {
+    const std::lock_guard lock(backends_mutex_);
+    if (!backends_read_at_) return std::nullopt;
+    return NewerList(backends_, *backends_read_at_, age_ms_plus_one, digest,
+                     common::TimerService::Now());
   }
 
   /// \returns the RPC addresses of the members, starting with the leader.
@@ -411,10 +411,12 @@
     response.set_confirmed(confirmation &&
                            common::TimerService::Now() - confirmation->confirmed_at <
                                kGroupMaxConfirmationAge);
-    const schema::Membership membership = node_->status().membership;
-    for (const schema::Member& member : membership.members()) {
+    const NodeStatus status = node_->status();
+    for (const schema::Member& member : status.membership.members()) {
       response.add_member_ids(member.id());
     }
+    for (const std::string& address : MemberAddresses()) response.add_control_rpc(address);
+    response.set_leader_known(status.leader != common::MemberId());
     return response;
   }
 
@@ -469,38 +471,97 @@
       }
       removed_ = true;
       log_.Warn(LogLine("removed_from_group").Add("member", id_.value()).Add("by", address).text());
-      if (options_.on_failure) options_.on_failure("the group has removed this member");
+      if (options_.on_removed) options_.on_removed();
       return;
     }
   }
 
-  /// Periodically reads the platform's list of backend servers, which entries receive with their
+  /// Keeps the platform's list of backend servers up to date, which entries receive with their
   /// syncs.
   void RunBackendList() {
+    ListScheduleOptions options;
+    options.calls_per_second = options_.settings.platform().list_calls_per_second();
+    ListSchedule schedule(options);
     bool unreachable = false;
-    while (!WaitForStop(kBackendListPeriod)) {
-      const common::Time requested_at = common::TimerService::Now();
-      auto list = options_.read_backends();
-      if (list.ok() == unreachable) {
-        unreachable = !list.ok();
-        log_.Info(LogLine(unreachable ? "platform_list_lost" : "platform_list_regained")
-                      .Add("problem", unreachable ? list.error() : std::string())
-                      .text());
-      }
-      if (!list.ok()) continue;
-      bool changed = false;
+    while (!WaitForStop(kBackendListPollPeriod)) {
+      std::optional<common::Time> read_at;
       {
         const std::lock_guard lock(backends_mutex_);
-        changed = !backends_read_at_ || backends_.digest() != list.value().digest();
-        backends_ = std::move(list).value();
-        backends_read_at_ = requested_at;
+        read_at = backends_read_at_;
+      }
+      switch (schedule.Next(Leads(), read_at, common::TimerService::Now())) {
+        case ListAction::kNone:
+          break;
+        case ListAction::kRequestFromLeader:
+          RequestBackendList();
+          break;
+        case ListAction::kReadPlatform:
+          ReadBackendList(schedule, unreachable);
+          break;
       }
-      if (!changed) continue;
-      log_.Info(LogLine("backend_list")
-                    .Add("backends", backends_.backends_size())
-                    .Add("digest", backends_.digest())
+    }
+  }
+
+  /// \param unreachable  whether the last read failed; updated
+  void ReadBackendList(ListSchedule& schedule, bool& unreachable) {
+    const common::Time requested_at = common::TimerService::Now();
+    auto list = options_.read_backends();
+    if (list.ok() == unreachable) {
+      unreachable = !list.ok();
+      log_.Info(LogLine(unreachable ? "platform_list_lost" : "platform_list_regained")
+                    .Add("problem", unreachable ? list.error() : std::string())
                     .text());
     }
+    if (!list.ok()) return;
+    schedule.OnRead(std::max(list.value().calls(), 1U));
+    ApplyBackendList(std::move(list).value(), requested_at, "platform");
+  }
+
+  void RequestBackendList() {
+    const std::string leader = node_->status().leader_rpc;
+    if (leader.empty()) return;
+    const common::Time requested_at = common::TimerService::Now();
+    schema::BackendListRequest request;
+    {
+      const std::lock_guard lock(backends_mutex_);
+      const auto age =
+          backends_read_at_
+              ? std::chrono::duration_cast<milliseconds>(requested_at - *backends_read_at_)
+              : milliseconds(std::chrono::hours(1));
+      request.set_age_ms_plus_one(static_cast<std::uint64_t>(age.count()) + 1);
+      if (backends_read_at_) request.set_digest(backends_.digest());
+    }
+    try {
+      auto response = ClientTo(leader).Call<schema::BackendListResponse>("BackendList", request,
+                                                                         kBackendListTimeout);
+      if (!response.has_backends()) return;
+      const milliseconds age(response.backends().age_ms());
+      ApplyBackendList(std::move(*response.mutable_backends()), requested_at - age, "leader");
+    } catch (const rpc::RpcError& error) {
+      // The member reads the platform by itself once its list is too old.
+      log_.Debug(LogLine("backend_list_unanswered")
+                     .Add("leader", leader)
+                     .Add("problem", error.what())
+                     .text());
+    }
+  }
+
+  void ApplyBackendList(schema::BackendList list, common::Time read_at, std::string_view source) {
+    {
+      const std::lock_guard lock(backends_mutex_);
+      if (backends_read_at_ && read_at <= *backends_read_at_) return;
+      const bool changed = !backends_read_at_ || backends_.digest() != list.digest();
+      backends_read_at_ = read_at;
+      if (!changed) return;
+      // Without its content a changed list is of no use; the next request receives it.
+      if (list.unchanged()) return;
+      backends_ = std::move(list);
+    }
+    log_.Info(LogLine("backend_list")
+                  .Add("backends", backends_.backends_size())
+                  .Add("digest", backends_.digest())
+                  .Add("source", source)
+                  .text());
   }
 
   [[nodiscard]] distribution::Confirmation CurrentConfirmation() const {
@@ -517,6 +578,16 @@
         "MemberReport", [this](const schema::MemberReport& report) {
           return fleet_.HandleReport(report, common::TimerService::Now());
         });
+    rpc_server_.Handle<schema::BackendListRequest, schema::BackendListResponse>(
+        "BackendList", [this](const schema::BackendListRequest& request) {
+          schema::BackendListResponse response;
+          // A list that went from member to member would age unseen if no leader read it any more.
+          if (!Leads()) return response;
+          if (auto newer = NewerBackends(request.age_ms_plus_one(), request.digest())) {
+            *response.mutable_backends() = std::move(*newer);
+          }
+          return response;
+        });
     if (!formed_from_seeds()) return;
     rpc_server_.Handle<schema::JoinRequest, schema::JoinResponse>(
         "Join", [this](const schema::JoinRequest& request) { return AdmitMember(request); });
@@ -582,25 +653,21 @@
     const std::string& url = options_.settings.platform_url();
     if (!options_.platform && !url.empty()) platform = MakeHttpPlatform(url);
     duties_.emplace(
-        DutyContext{.propose =
-                        [this](const schema::Command& command) {
-                          return node_->Propose(command, kProposeTimeout);
-                        },
-                    .may_send = [this] { return MaySend(); },
-                    .fence = [this] { return node_->status().term; },
-                    .read_state = [this](const auto& read) { ReadState(read); },
-                    .wall_clock = [this] { return AgreedWallClock(); },
-                    .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); },
-                    .report_retry_delay = kUsageReportRetryDelay},
+        DutyContext{
+            .propose =
+                [this](const schema::Command& command) {
+                  return node_->Propose(command, kProposeTimeout);
+                },
+            .may_send = [this] { return node_->MaySendOrders(common::TimerService::Now()); },
+            .fence = [this] { return node_->status().term; },
+            .read_state = [this](const auto& read) { ReadState(read); },
+            .wall_clock = [this] { return AgreedWallClock(); },
+            .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); },
+            .report_retry_delay = kUsageReportRetryDelay,
+            .holder_change = milliseconds(options_.settings.platform().holder_change_ms())},
         std::move(platform));
   }
 
-  [[nodiscard]] bool MaySend() const {
-    const common::Time now = common::TimerService::Now();
-    const milliseconds wait(options_.settings.platform().holder_change_ms());
-    return now - leading_since_ >= wait && node_->MaySendOrders(now);
-  }
-
   void RunDuties() {
     while (!WaitForStop(kDutyPeriod)) {
       ObserveClock(options_.settings.node().id(), WallClock());
@@ -695,7 +762,7 @@
     if (removed_) EraseDataFolder();
   }
 
-  /// Erases the data folder, so that the process joins as a new member after a restart.
+  /// Erases the data folder, so that the next daemon of this process joins as a new member.
   void EraseDataFolder() {
     node_.reset();
     try {
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -22,6 +22,15 @@
   if (platform_.send_order) ProcessOrders();
 }
 
+bool LeaderDuties::MaySend() {
+  if (!context_.may_send()) return false;
+  const common::Term term = context_.fence();
+  // Counted from the end of the last call, which may have reached the platform late.
+  if (term != sent_term_ && context_.now() - last_sent_ < context_.holder_change) return false;
+  sent_term_ = term;
+  return true;
+}
+
 std::uint64_t LeaderDuties::NowMs() const {
   return static_cast<std::uint64_t>(context_.wall_clock().count());
 }
@@ -53,18 +62,19 @@
 }
 
 void LeaderDuties::SendReports() {
-  if (common::BootClock::now() < next_report_at_) return;
+  if (context_.now() < next_report_at_) return;
   std::vector<schema::UsageWindow> windows;
   context_.read_state([&](const ControlState& state) { windows = state.usage().Unreported(); });
   for (const schema::UsageWindow& window : windows) {
     const common::Term fencing_token = context_.fence();
-    if (!context_.may_send() || fencing_token == rejected_term_) return;
+    if (fencing_token == rejected_term_ || !MaySend()) return;
     const ReportResponse answer = platform_.send_report(window, fencing_token);
+    last_sent_ = context_.now();
     // A newer leader exists, so this one sends no more reports in its term.
     if (answer.stale_fencing_token) rejected_term_ = fencing_token;
     const std::optional<std::string>& receipt = answer.receipt;
     if (!receipt) {
-      next_report_at_ = common::BootClock::now() + context_.report_retry_delay;
+      next_report_at_ = context_.now() + context_.report_retry_delay;
       return;
     }
     schema::Command command;
@@ -94,9 +104,11 @@
 }
 
 void LeaderDuties::SendOrder(const schema::Order& order) {
-  if (!context_.may_send()) return;
+  if (!MaySend()) return;
   sent_orders_.insert(order.id());
-  switch (platform_.send_order(order)) {
+  const OrderResponse answer = platform_.send_order(order);
+  last_sent_ = context_.now();
+  switch (answer) {
     case OrderResponse::kAccepted:
       RecordOutcome(order, schema::ORDER_STATE_ACCEPTED);
       break;
--- a/src/distribution/sync_client.cc
+++ b/src/distribution/sync_client.cc
@@ -44,12 +44,8 @@
 void SyncClient::SetParents(std::vector<std::string> parents) {
   const std::lock_guard lock(mutex_);
   if (parents == options_.parents) return;
-  const std::string current = client_ ? client_->address() : std::string();
   options_.parents = std::move(parents);
   parent_index_ = 0;
-  for (std::size_t i = 0; i < options_.parents.size(); ++i) {
-    if (options_.parents[i] == current) parent_index_ = i;
-  }
 }
 
 std::string SyncClient::parent() const {
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -12,6 +12,7 @@
 #include <thread>
 #include <utility>
 
+#include "briarwood/distribution/parent_order.h"
 #include "briarwood/distribution/replica.h"
 #include "briarwood/distribution/sync_client.h"
 #include "briarwood/observability/log_line.h"
@@ -31,8 +32,6 @@
 namespace {
 
 constexpr milliseconds kTickInterval{10};
-/// Counts that have not been reported are lost if the entry fails.
-constexpr milliseconds kUsageReportInterval{120};
 constexpr milliseconds kListPollInterval{250};
 /// Delay before the platform's list is read again after a failure.
 constexpr milliseconds kListRetryDelay{1000};
@@ -83,9 +82,10 @@
                                 .ca_file = {}},
                    .reporter = options_.settings.node().id(),
                    .incarnation = options_.incarnation,
-                   .period = kUsageReportInterval,
+                   .period = proposals::UsageReportPeriod(0),
                    .on_committed = {}}),
-        sync_client_({.parents = ToVector(options_.settings.control_rpc()),
+        sync_client_({.parents = distribution::OrderParents(
+                          options_.settings.node().id(), ToVector(options_.settings.control_rpc())),
                       .credential = options_.credential,
                       .ca_file = {}},
                      replica_, MakeCallbacks()),
@@ -245,7 +245,7 @@
     forwarder_.Tick(now);
     in_flight_ = forwarder_.in_flight();
     UpdateReady();
-    if (now - last_usage_transfer_at_ < kUsageReportInterval) return;
+    if (now - last_usage_transfer_at_ < usage_report_period_) return;
     last_usage_transfer_at_ = now;
     TransferUsage();
   }
@@ -371,8 +371,12 @@
       });
     }
     if (response.entry_count() != 0) {
-      boost::asio::post(
-          loop_, [this, entries = response.entry_count()] { forwarder_.SetEntryCount(entries); });
+      const milliseconds period = proposals::UsageReportPeriod(response.entry_count());
+      reporter_.SetPeriod(period);
+      boost::asio::post(loop_, [this, period, entries = response.entry_count()] {
+        usage_report_period_ = period;
+        forwarder_.SetEntryCount(entries);
+      });
     }
     if (response.has_backends()) {
       ApplyList(response.backends(), sent_at - milliseconds(response.backends().age_ms()),
@@ -392,9 +396,9 @@
   /// Sets the control members to sync with (parents). Addresses that a member reported come first,
   /// as those in the settings may be out of date.
   void UpdateParentsLocked() {
-    std::vector<std::string> parents = reported_members_;
-    std::sort(parents.begin(), parents.end());
-    for (const std::string& address : configured_members_) {
+    const std::string& entry = options_.settings.node().id();
+    std::vector<std::string> parents = distribution::OrderParents(entry, reported_members_);
+    for (const std::string& address : distribution::OrderParents(entry, configured_members_)) {
       if (std::find(parents.begin(), parents.end(), address) == parents.end()) {
         parents.push_back(address);
       }
@@ -472,6 +476,7 @@
   std::uint16_t port_ = 0;
   std::uint16_t ready_port_ = 0;
   std::uint16_t rpc_port_ = 0;
+  milliseconds usage_report_period_ = proposals::UsageReportPeriod(0);
   /// Time of the last transfer of counts to the usage reporter.
   common::Time last_usage_transfer_at_;
   /// Used on the thread that applies sync responses.
--- a/src/proposals/usage_reporter.cc
+++ b/src/proposals/usage_reporter.cc
@@ -1,5 +1,6 @@
 #include "briarwood/proposals/usage_reporter.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -14,8 +15,20 @@
 // Delay before a flush proposes a batch again that was not committed.
 constexpr std::chrono::milliseconds kFlushRetryDelay{50};
 
+constexpr std::chrono::milliseconds kMinReportPeriod{120};
+/// Half of the entries lose half of a period on average: 2% of a window of 5 s.
+constexpr std::chrono::milliseconds kMaxReportPeriod{400};
+/// Number of entries up to which all of them report at the minimum period.
+constexpr std::uint32_t kEntriesAtMinPeriod = 8;
+
 }  // namespace
 
+std::chrono::milliseconds UsageReportPeriod(std::uint32_t entries) noexcept {
+  const auto period = kMinReportPeriod * static_cast<int>(std::min(entries, 1000U)) /
+                      static_cast<int>(kEntriesAtMinPeriod);
+  return std::clamp(period, kMinReportPeriod, kMaxReportPeriod);
+}
+
 UsageReporter::UsageReporter(UsageReporterOptions options)
     : options_(std::move(options)), proposer_(options_.proposer), thread_([this] { Run(); }) {}
 
@@ -26,6 +39,11 @@
   ledger_.Hold(record);
 }
 
+void UsageReporter::SetPeriod(std::chrono::milliseconds period) {
+  const std::lock_guard lock(mutex_);
+  options_.period = period;
+}
+
 void UsageReporter::Acknowledge(const schema::AcknowledgeUsage& acknowledgement) {
   schema::UsageBatch batch;
   for (const std::uint64_t sequence : acknowledgement.committed_sequences()) {
--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "briarwood/control/control_daemon.h"
+#include "briarwood/control/control_relay.h"
+#include "briarwood/distribution/replica.h"
 #include "briarwood/rpc/client.h"
 #include "briarwood/rpc/error.h"
 #include "http/impl/free_port.h"
@@ -43,6 +45,7 @@
     std::string folder;
     AdminBackend* backend = nullptr;
     std::atomic<bool> interrupted = false;
+    std::atomic<bool> removed = false;
     std::unique_ptr<ControlDaemon> daemon;
     std::thread starting;
   };
@@ -70,6 +73,7 @@
   void Start(std::size_t index, bool bootstrap) {
     Member& member = *members_[index];
     member.interrupted = false;
+    member.removed = false;
     member.starting = std::thread([this, &member, bootstrap] {
       ControlDaemonOptions options;
       schema::ControlSettings& settings = options.settings;
@@ -77,13 +81,17 @@
       settings.mutable_node()->set_failure_domain("east");
       settings.mutable_node()->set_rpc_listen(member.address);
       settings.set_data_folder(member.folder);
-      for (std::size_t seed = 0; seed < 3; ++seed) settings.add_seeds(members_[seed]->address);
+      for (const std::string& seed : seeds_) settings.add_seeds(seed);
+      for (std::size_t seed = 0; seeds_.empty() && seed < 3; ++seed) {
+        settings.add_seeds(members_[seed]->address);
+      }
       settings.set_bootstrap(bootstrap);
       settings.set_heartbeat_ms(50);
       settings.set_election_timeout_ms(300);
       options.incarnation = common::Incarnation(++next_incarnation_);
       options.parser = platform::MakeParser(schema::PlatformSettings());
       options.interrupted = [&member] { return member.interrupted.load(); };
+      options.on_removed = [&member] { member.removed = true; };
       options.start_api = [&member](AdminBackend& backend) {
         member.backend = &backend;
         return common::Result<std::shared_ptr<void>>::Success(nullptr);
@@ -141,6 +149,8 @@
   }
 
   std::filesystem::path root_;
+  /// Seeds of members that start; empty for the first three members.
+  std::vector<std::string> seeds_;
   std::vector<std::unique_ptr<Member>> members_;
   std::atomic<std::uint64_t> next_incarnation_ = 100;
 };
@@ -196,6 +206,112 @@
   }));
 }
 
+// Guards against a process that ends because the group replaced its member while it was away: it
+// joins the group again with an empty folder and a new id.
+TEST_F(GroupTest, RemovedMemberJoinsAgainInTheSameProcess) {
+  FormGroup();
+  Stop(*members_[2]);
+  Start(3, /*bootstrap=*/false);
+  WaitStarted(3);
+  ASSERT_TRUE(Eventually(milliseconds(6000), [this] {
+    return Voters(0) == std::vector<std::uint64_t>{1, 2, 4} && Holds(3);
+  }));
+  Start(2, /*bootstrap=*/false);
+  WaitStarted(2);
+  ASSERT_TRUE(Eventually(milliseconds(8000), [this] { return members_[2]->removed.load(); }));
+  Stop(*members_[2]);
+  Start(2, /*bootstrap=*/false);
+  WaitStarted(2);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(2); }));
+  EXPECT_EQ(members_[2]->backend->Status().member_id(), 5U);
+}
+
+/// Relay beside the members of the group.
+class RelayTest : public GroupTest {
+ protected:
+  std::unique_ptr<ControlRelay> StartRelay(std::vector<std::string> seeds) {
+    ControlRelayOptions options;
+    options.settings.mutable_node()->set_id("control/relay");
+    options.settings.mutable_node()->set_rpc_listen("127.0.0.1:0");
+    for (std::string& seed : seeds) options.settings.add_seeds(std::move(seed));
+    EXPECT_TRUE(RunsAsRelay(options.settings));
+    auto relay = ControlRelay::Start(std::move(options));
+    EXPECT_TRUE(relay.ok()) << relay.error();
+    return std::move(relay).value();
+  }
+
+  static std::string AddressOf(const ControlRelay& relay) {
+    return "127.0.0.1:" + std::to_string(relay.rpc_port());
+  }
+
+  std::vector<std::string> Addresses(std::size_t count) const {
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < count; ++i) addresses.push_back(members_[i]->address);
+    return addresses;
+  }
+
+  /// \returns the address of the member that leads.
+  std::string Leader() {
+    for (const auto& member : members_) {
+      if (member->daemon && member->daemon->Leads()) return member->address;
+    }
+    return {};
+  }
+};
+
+// Guards against a group that grows with every VM without a disk, and whose membership changes with
+// each start and stop of one.
+TEST_F(RelayTest, NamesTheLeaderAndIsNoMember) {
+  FormGroup();
+  const auto membership = [this] {
+    return members_[0]->backend->Status().membership().SerializeAsString();
+  };
+  const std::string before = membership();
+  for (int start = 0; start < 3; ++start) {
+    const auto relay = StartRelay(Addresses(3));
+    EXPECT_TRUE(Eventually(milliseconds(3000), [&] { return relay->leader() == Leader(); }));
+    EXPECT_EQ(relay->members().size(), 3U);
+  }
+  EXPECT_EQ(membership(), before);
+}
+
+// Guards against an entry or member that finds nobody because its settings name relays only, as
+// after the seeds were exchanged for other VMs.
+TEST_F(RelayTest, LeadsChildrenAndNewMembersToTheGroup) {
+  FormGroup();
+  const auto relay = StartRelay({members_[0]->address});
+  ASSERT_TRUE(Eventually(milliseconds(3000), [&] { return relay->leader().has_value(); }));
+  rpc::Client client({.address = AddressOf(*relay)});
+  schema::SyncRequest request;
+  request.set_since_index(41);
+  const auto sync = client.Call<schema::SyncResponse>("Sync", request);
+  EXPECT_FALSE(sync.confirmed());
+  EXPECT_EQ(sync.control_rpc_size(), 3);
+  distribution::Replica replica;
+  EXPECT_TRUE(replica.Apply(sync, common::BootClock::now()));
+  EXPECT_FALSE(replica.freshness());
+  const auto proposal = client.Call<schema::ProposeResponse>("Propose", schema::ProposeRequest());
+  EXPECT_EQ(proposal.status(), schema::ProposeResponse::STATUS_NOT_LEADER);
+  EXPECT_EQ(proposal.leader_rpc(), Leader());
+  seeds_ = {AddressOf(*relay)};
+  Start(3, /*bootstrap=*/false);
+  WaitStarted(3);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3); }));
+}
+
+// Guards against a relay that sends the operator to a leader that is gone.
+TEST_F(RelayTest, ForgetsALeaderThatNobodyConfirms) {
+  FormGroup();
+  const auto relay = StartRelay(Addresses(3));
+  ASSERT_TRUE(Eventually(milliseconds(3000), [&] { return relay->leader().has_value(); }));
+  for (std::size_t i = 0; i < 3; ++i) Stop(*members_[i]);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [&] { return !relay->leader(); }));
+  EXPECT_EQ(relay->members().size(), 3U);
+  for (std::size_t i = 0; i < 3; ++i) Start(i, /*bootstrap=*/false);
+  for (std::size_t i = 0; i < 3; ++i) WaitStarted(i);
+  EXPECT_TRUE(Eventually(milliseconds(5000), [&] { return relay->leader().has_value(); }));
+}
+
 // Guards against a control VM without a disk that exits with an error, or that becomes a voter
 // although its votes do not survive a restart.
 TEST_F(GroupTest, MemberWithoutDiskServesAndNeverVotes) {
--- a/tests/control/leader_duties_test.cc
+++ b/tests/control/leader_duties_test.cc
@@ -64,6 +64,8 @@
   std::vector<std::string> reports;
   /// The platform processes requests, but its responses are lost.
   bool lose_responses = false;
+  /// Minimum time between two turns of one process as the holder of the duties.
+  std::uint64_t holder_change_ms = 0;
 };
 
 /// Process that acts as the leader, with or without a valid lease.
@@ -95,6 +97,8 @@
   bool holds_lease = true;
   /// False makes commits fail, as they do without a majority.
   bool commits = true;
+  /// Changes with each leadership of the process.
+  void StartTerm(std::uint64_t fence) { fencing_token_ = fence; }
 
  private:
   DutyContext MakeContext() {
@@ -106,7 +110,9 @@
             .fence = [this] { return common::Term(fencing_token_); },
             .read_state = [this](const auto& read) { read(fleet_.state); },
             .wall_clock = [this] { return common::UnixMillis(fleet_.now_ms); },
-            .take_dead = [] { return std::vector<membership::DeadIncarnation>(); }};
+            .take_dead = [] { return std::vector<membership::DeadIncarnation>(); },
+            .holder_change = std::chrono::milliseconds(fleet_.holder_change_ms),
+            .now = [this] { return common::Time(std::chrono::milliseconds(fleet_.now_ms)); }};
   }
 
   Fleet& fleet_;
@@ -125,6 +131,61 @@
   EXPECT_EQ(fleet.StateOf(1), schema::ORDER_STATE_ACCEPTED);
 }
 
+// Guards against usage windows that are never reported because the leader changes more often than
+// the holder of the duties may, as when all VMs are restarted one after the other.
+TEST(LeaderDutiesTest, ReportsWhileTheLeaderChangesEverySecond) {
+  Fleet fleet;
+  fleet.holder_change_ms = 3000;
+  std::vector<std::unique_ptr<Leader>> members;
+  for (int i = 0; i < 5; ++i) members.push_back(std::make_unique<Leader>(fleet, 0));
+  fleet.now_ms += 3000;
+  std::uint64_t term = 0;
+  for (std::uint64_t sequence = 1; sequence <= 10; ++sequence) {
+    fleet.Serve(sequence, 10);
+    // Usage windows have 60 s and a grace of 10 s; in each, the leader changes every second.
+    for (int change = 0; change < 71; ++change) {
+      fleet.now_ms += 1000;
+      Leader& leader = *members[++term % members.size()];
+      leader.StartTerm(term);
+      leader.Run();
+    }
+  }
+  EXPECT_GE(fleet.reports.size(), 9U);
+}
+
+// I7: guards against two processes that the platform takes for holders at the same time: a process
+// that led before acts again only after the minimum time, whoever led in between, and so does one
+// that has restarted, since it does not know what it sent before.
+TEST(LeaderDutiesTest, I7FormerHolderWaitsBeforeItActsAgain) {
+  Fleet fleet;
+  fleet.holder_change_ms = 3000;
+  Leader first(fleet, 1);
+  Leader second(fleet, 2);
+  fleet.now_ms += 3000;
+  fleet.Decide(1, 1);
+  first.Run();
+  fleet.Decide(2, 2);
+  second.Run();
+  ASSERT_EQ(fleet.orders, (std::vector<std::uint64_t>{1, 2}));
+  fleet.Decide(3, 3);
+  first.StartTerm(3);
+  fleet.now_ms += 2000;
+  first.Run();
+  EXPECT_EQ(fleet.orders.size(), 2U);
+  fleet.now_ms += 1000;
+  first.Run();
+  EXPECT_EQ(fleet.orders.size(), 3U);
+
+  Leader restarted(fleet, 4);
+  fleet.Decide(4, 4);
+  fleet.now_ms += 2999;
+  restarted.Run();
+  EXPECT_EQ(fleet.orders.size(), 3U);
+  fleet.now_ms += 1;
+  restarted.Run();
+  EXPECT_EQ(fleet.orders.size(), 4U);
+}
+
 // I6: guards against an order that is sent by a process whose lease has expired.
 TEST(LeaderDutiesTest, I6SendsNothingWithoutTheLease) {
   Fleet fleet;
--- a/tests/platform/operator_api_test.cc
+++ b/tests/platform/operator_api_test.cc
@@ -69,6 +69,24 @@
   EXPECT_EQ(Call("GET").head.status, 503);
 }
 
+// Guards against a process without the state of the group that answers the operator by itself, and
+// against a redirect to a leader that is not known.
+TEST_F(OperatorApiTest, RedirectsToTheLeader) {
+  std::optional<std::string> leader = "10.0.0.4:8080";
+  auto api = OperatorApi::StartRedirect("127.0.0.1:0", [&leader] { return leader; });
+  ASSERT_TRUE(api.ok()) << api.error();
+  api_ = std::move(api).value();
+  for (const char* method : {"GET", "PUT"}) {
+    const http::CallResponse response = Call(method, Document(3));
+    EXPECT_EQ(response.head.status, 307);
+    const std::string* location = response.head.headers.Find("Location");
+    ASSERT_NE(location, nullptr);
+    EXPECT_EQ(*location, "http://10.0.0.4:8080/briarwood/config");
+  }
+  leader.reset();
+  EXPECT_EQ(Call("GET").head.status, 503);
+}
+
 // If the outcome of the proposal is unknown, the response must not state success or rejection.
 TEST_F(OperatorApiTest, RespondsUnavailableWhenTheOutcomeIsUnknown) {
   backend_.DropNextResponse();
