Bound what a faulty server can send, and answer what arrives during a stop

Cause: operators of similar systems reported late second copies, requests cut at a planned stop, and stalled streams that never end; servers may also send bytes without end. Read in the code: interim and skipped responses had no limit; an event without end filled the memory; a body over 16 MB lost its end and was delivered as complete; any byte counted as progress of a stream; a copy that arrived on an idle connection before the loop noticed was read as the next response; a further attempt of a request could use the connection of its first one, where a copy of the first rejection has the same id; a stop reset the connections in the listen queue, and idle ones on which a request had just arrived.

Ruled out: a length limit below that of the operators' requests; ids that differ between attempts, which the platform's protocol does not allow.

Change: 16 interim or skipped responses and 1 MB of skipped bytes a call, 8 MB a response and 16 MB of buffered responses an entry, 1 MB an event; beyond, the attempt fails and the connection is closed. Progress is counted in whole events with a new id. A connection with unread input is not reused, and an attempt at a server that already got the request uses a new one. A stop takes the connections that the kernel has accepted and answers what has arrived. Shared prompts of less than 1,000 tokens no longer select the server.

--- a/include/briarwood/forwarding/event_splitter.h
+++ b/include/briarwood/forwarding/event_splitter.h
@@ -14,6 +14,8 @@
   std::string text;
   /// Value of the id field when it is a number.
   std::optional<std::uint64_t> id;
+  /// False for comments and events without a data field.
+  bool has_data = false;
 };
 
 /// Splits a text/event-stream body into events, so that a stream that is interrupted within an
--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -84,7 +84,7 @@
   void DisableKeepAlive();
   /// Closes the connections on which no byte of a further request has arrived.
   void CloseIdle();
-  /// Stops accepting connections.
+  /// Stops accepting connections, except those that the kernel has accepted already.
   void StopAccepting();
 
  private:
--- a/include/briarwood/http/outgoing.h
+++ b/include/briarwood/http/outgoing.h
@@ -56,6 +56,9 @@
 
   /// True if the last call has ended and the connection can be used for another one.
   [[nodiscard]] virtual bool reusable() const noexcept = 0;
+  /// True if unread bytes have arrived or the server has closed the connection. On an idle
+  /// connection the bytes belong to no request.
+  [[nodiscard]] virtual bool HasInput() noexcept = 0;
   [[nodiscard]] virtual bool connected() const noexcept = 0;
   /// Time from which an idle connection must not be used, because the server may close it.
   [[nodiscard]] virtual common::Time usable_until() const noexcept = 0;
--- a/src/forwarding/connection_pool.cc
+++ b/src/forwarding/connection_pool.cc
@@ -31,14 +31,14 @@
 }
 
 std::shared_ptr<http::OutgoingConnection> ConnectionPool::Acquire(const common::BackendServerId& id,
-                                                                  common::Time now) {
+                                                                  common::Time now, bool fresh) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || found->second.removed) return nullptr;
   Server& server = found->second;
-  while (!server.idle.empty()) {
+  while (!fresh && !server.idle.empty()) {
     auto connection = std::move(server.idle.back());
     server.idle.pop_back();
-    if (connection->reusable() && now < connection->usable_until()) {
+    if (connection->reusable() && now < connection->usable_until() && !connection->HasInput()) {
       ++server.in_use;
       return connection;
     }
--- a/src/forwarding/event_splitter.cc
+++ b/src/forwarding/event_splitter.cc
@@ -6,22 +6,23 @@
 namespace briarwood::forwarding {
 namespace {
 
-std::optional<std::uint64_t> ReadId(std::string_view event) {
-  std::optional<std::uint64_t> id;
+/// Sets the fields of the event that follow from its text.
+void ReadFields(StreamEvent& parsed) {
+  std::string_view event = parsed.text;
   while (!event.empty()) {
     const std::size_t end = std::min(event.find('\n'), event.size());
     std::string_view line = event.substr(0, end);
     event.remove_prefix(std::min(end + 1, event.size()));
     if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with("data:") || line == "data") parsed.has_data = true;
     constexpr std::string_view kField = "id:";
     if (!line.starts_with(kField)) continue;
     line.remove_prefix(kField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
     std::uint64_t value = 0;
-    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
-    if (parsed.ec == std::errc() && parsed.ptr == line.data() + line.size()) id = value;
+    const auto number = std::from_chars(line.data(), line.data() + line.size(), value);
+    if (number.ec == std::errc() && number.ptr == line.data() + line.size()) parsed.id = value;
   }
-  return id;
 }
 
 }  // namespace
@@ -46,7 +47,7 @@
       continue;
     }
     StreamEvent event{.text = buffer_.substr(start, next + 1 - start), .id = std::nullopt};
-    event.id = ReadId(event.text);
+    ReadFields(event);
     events.push_back(std::move(event));
     start = next + 1;
     position = start;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -30,7 +30,12 @@
 constexpr milliseconds kMinTimeLeft{20};
 /// Reading from the backend server pauses while more than this is buffered for the caller.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
-constexpr std::size_t kMaxBodyBytes = std::size_t{16} * 1024 * 1024;
+/// Limits on the responses that are buffered until they are complete, of one request and of all
+/// requests of the entry. A faulty server may send a body without end, and an entry may have 88 MB.
+constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{16} * 1024 * 1024;
+/// Limit on one event of a stream.
+constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
 /// Values of Retry-After for rejected callers.
 constexpr milliseconds kRetryAfterDelay{300};
 constexpr milliseconds kRetryAfterDelayWithoutConfiguration{500};
@@ -46,6 +51,10 @@
 /// engine processes 94 prompt tokens per millisecond, so 1000 delay the others by 10.6 ms, once; a
 /// running request of 200 tokens adds 0.11 ms to each step, which is as much after about 100 steps.
 constexpr double kTokensPerWorkUnit = 1000;
+/// Minimum length of the shared parts of a prompt for which the request goes to the server that has
+/// cached them. An engine reads fewer tokens in about 10 ms, which is less than a busy server delays
+/// the request.
+constexpr std::uint64_t kMinAffinityTokens = 1000;
 /// Share of the shared prompt tokens that an engine does not find in its cache and has to process.
 constexpr double kUncachedShare = 0.3;
 
@@ -193,15 +202,21 @@
   return policy;
 }
 
+std::uint64_t Exchange::SharedTokens() const {
+  std::uint64_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
+    tokens += facts_.prompt_parts[i].tokens;
+  }
+  return tokens;
+}
+
 double Exchange::Work() const {
   if (!route_->prefix_affinity()) return 1;
   // Shared parts are mostly cached by the server that prefix affinity selects.
   double tokens = static_cast<double>(facts_.prompt_tokens);
   if (!facts_.prompt_parts.empty()) {
-    tokens = static_cast<double>(facts_.prompt_parts.back().tokens);
-    for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
-      tokens += kUncachedShare * static_cast<double>(facts_.prompt_parts[i].tokens);
-    }
+    tokens = static_cast<double>(facts_.prompt_parts.back().tokens) +
+             kUncachedShare * static_cast<double>(SharedTokens());
   }
   return 1 + tokens / kTokensPerWorkUnit;
 }
@@ -213,7 +228,7 @@
   queued.class_id = policy.id;
   queued.customer = customer_;
   queued.capability.service = service_;
-  if (route_->prefix_affinity() && facts_.prompt_parts.size() > 1) {
+  if (route_->prefix_affinity() && SharedTokens() >= kMinAffinityTokens) {
     // The last part belongs to this request only; the one before it ends the longest shared prefix.
     queued.prefix_hash = common::Hash64(facts_.prompt_parts[facts_.prompt_parts.size() - 2].id);
   }
@@ -255,13 +270,14 @@
   attempt_->backend_server = dispatch.choice.id;
   attempt_->tier = dispatch.picked.tier;
   attempt_->started_at = now;
-  attempt_->last_received_at = now;
+  attempt_->progress_at = now;
   attempt_->work = dispatch.picked.request.work;
   if (attempt_->work > 1) {
     attempt_->prompt_work = attempt_->work;
     owner_.StateOf(service_).prompts.OnSent(attempt_->prompt_work);
   }
-  attempt_->connection = owner_.pool_.Acquire(dispatch.choice.id, now);
+  attempt_->connection =
+      owner_.pool_.Acquire(dispatch.choice.id, now, sent_to_.contains(dispatch.choice.id));
   if (attempt_->connection == nullptr) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
                               attempt_->work);
@@ -279,6 +295,7 @@
 void Exchange::SendAttempt() {
   const common::Time now = common::BootClock::now();
   ++sent_attempts_;
+  sent_to_.insert(attempt_->backend_server);
   http::RequestHead head = request_->head();
   const bool has_body = head.headers.Find("Content-Length") != nullptr ||
                         head.headers.Find("Transfer-Encoding") != nullptr;
@@ -356,6 +373,7 @@
 
 void Exchange::RecordProgress() {
   const common::Time now = common::BootClock::now();
+  attempt_->progress_at = now;
   if (attempt_->has_progress) {
     const milliseconds gap(route_->event_gap_target_ms());
     if (attempt_->streaming && gap > milliseconds(0)) {
@@ -383,9 +401,8 @@
 }
 
 void Exchange::OnData(std::string_view data) {
-  attempt_->last_received_at = common::BootClock::now();
   if (!attempt_->streaming) {
-    if (attempt_->body.size() + data.size() <= kMaxBodyBytes) attempt_->body += data;
+    BufferBody(data);
     return;
   }
   const std::uint64_t attempt = attempt_number_;
@@ -393,9 +410,29 @@
     OnEvent(event);
     if (!attempt_ || attempt_number_ != attempt) return;
   }
+  if (attempt_->events.incomplete_event().size() > kMaxEventBytes) {
+    OnFailedAttempt(http::CallEnd::kInvalid);
+    return;
+  }
   if (request_->buffered_bytes() > kMaxBufferedBytes) attempt_->connection->PauseReading(true);
 }
 
+void Exchange::BufferBody(std::string_view data) {
+  if (attempt_->body.size() + data.size() > kMaxBodyBytes ||
+      owner_.buffered_body_bytes_ + data.size() > kMaxBufferedBodyBytes) {
+    owner_.log_.Warn(LogLine("response_too_long")
+                         .Add("request", facts_.id)
+                         .Add("backend", attempt_->backend_server.value())
+                         .Add("bytes", attempt_->body.size() + data.size())
+                         .Add("buffered", owner_.buffered_body_bytes_)
+                         .text());
+    OnFailedAttempt(http::CallEnd::kInvalid);
+    return;
+  }
+  attempt_->body += data;
+  owner_.buffered_body_bytes_ += data.size();
+}
+
 void Exchange::OnEvent(const StreamEvent& event) {
   if (event.id && last_event_) {
     if (*event.id <= *last_event_) return;
@@ -411,7 +448,8 @@
       return;
     }
   }
-  RecordProgress();
+  // Without an id, an event of a numbered stream is a comment or a keep-alive.
+  if (event.id || (!last_event_ && event.has_data)) RecordProgress();
   if (event.id) last_event_ = event.id;
   if (!std::exchange(response_started_, true)) {
     http::ResponseHead head = attempt_->head;
@@ -571,14 +609,14 @@
           ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
           : std::max<common::Duration>(kFirstEventStallTargets * target,
                                        kMinFirstEventStallTimeout);
-  return now - attempt_->last_received_at > limit;
+  return now - attempt_->progress_at > limit;
 }
 
 void Exchange::RetryStalledAttempt(common::Time now) {
   may_have_run_on_.insert(attempt_->backend_server);
   if (!MayRetry(/*may_have_run=*/true, now) || !owner_.retry_budget_.TryRetry(service_, now)) {
     // Checked again only after the stall timeout has elapsed once more.
-    attempt_->last_received_at = now;
+    attempt_->progress_at = now;
     return;
   }
   owner_.metrics_.CountEvent("stalled");
@@ -586,7 +624,7 @@
   owner_.log_.Warn(LogLine("attempt_stalled")
                        .Add("request", facts_.id)
                        .Add("backend", attempt_->backend_server.value())
-                       .Add("silent_ms", Millis(now - attempt_->last_received_at))
+                       .Add("silent_ms", Millis(now - attempt_->progress_at))
                        .Add("began", attempt_->has_progress)
                        .text());
   attempt_->connection->Close();
@@ -611,6 +649,7 @@
   ReleasePromptWork();
   Attempt attempt = std::move(*attempt_);
   attempt_.reset();
+  owner_.buffered_body_bytes_ -= std::min(owner_.buffered_body_bytes_, attempt.body.size());
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
   owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work);
--- a/src/forwarding/impl/connection_pool.h
+++ b/src/forwarding/impl/connection_pool.h
@@ -26,10 +26,14 @@
   /// Closes the idle connections of a backend server; those in use are closed on release.
   void Remove(const common::BackendServerId& id);
 
+  /// \param fresh  true for a connection that has carried no request: a late copy of the response
+  /// to
+  ///               an earlier attempt of the same request has the id of the request
   /// \returns an idle or new connection, or nullptr if the backend server is unknown or at its
   /// limit.
   [[nodiscard]] std::shared_ptr<http::OutgoingConnection> Acquire(const common::BackendServerId& id,
-                                                                  common::Time now);
+                                                                  common::Time now,
+                                                                  bool fresh = false);
   /// Returns a connection to the pool after its call, or after it was closed.
   void Release(const common::BackendServerId& id,
                const std::shared_ptr<http::OutgoingConnection>& connection, common::Time now);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -16,7 +16,9 @@
   common::BackendServerId backend_server;
   common::Tier tier;
   common::Time started_at;
-  common::Time last_received_at;
+  /// Time of the last progress: the start of the attempt, its response or a whole new event. Other
+  /// bytes are no progress, since a stalled server may send some now and then.
+  common::Time progress_at;
   /// Time of the last event of the stream, or of the start of the response.
   common::Time last_event_at;
   double work = 1;
@@ -64,6 +66,8 @@
   bool Admit();
   void Queue();
   [[nodiscard]] routing::ClassPolicy Policy() const;
+  /// \returns the length of the prompt's parts that other requests share.
+  [[nodiscard]] std::uint64_t SharedTokens() const;
   [[nodiscard]] double Work() const;
   void SendAttempt();
   /// \returns false if the response belongs to another request.
@@ -90,9 +94,12 @@
   [[nodiscard]] bool TryRetry(bool may_have_run);
   [[nodiscard]] bool MayRetry(bool may_have_run, common::Time now) const;
   void QueueRetry(common::Time now);
-  /// True if the request is retryable and nothing has arrived from its backend server for a
-  /// multiple of the route's target: of that for the first event, or, after the first event of a
-  /// stream, of that for the gap between events.
+  /// Buffers a piece of a response that is delivered whole, or fails the attempt if the response,
+  /// or all responses that the entry buffers, are too long.
+  void BufferBody(std::string_view data);
+  /// True if the request is retryable and its attempt has made no progress for a multiple of the
+  /// route's target: of that for the first event, or, after the first event of a stream, of that
+  /// for the gap between events.
   [[nodiscard]] bool IsStalled(common::Time now) const;
   void RetryStalledAttempt(common::Time now);
 
@@ -121,6 +128,8 @@
   State state_ = State::kQueued;
   std::optional<Attempt> attempt_;
   std::uint64_t attempt_number_ = 0;
+  /// Backend servers to which the request was sent.
+  std::set<common::BackendServerId> sent_to_;
   /// Backend servers that may have run the request.
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -112,6 +112,8 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_exchange_ = 1;
   bool rejecting_new_ = false;
+  /// Bytes of responses that are buffered until they are complete.
+  std::size_t buffered_body_bytes_ = 0;
   /// Numbers of the requests that are held until the first configuration is active.
   std::set<std::uint64_t> held_;
 };
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -70,6 +70,8 @@
   /// \returns an empty string, or a description of the error.
   std::string Listen();
   void Accept();
+  /// Takes the connections that the kernel has accepted, then accepts no more.
+  void StopAccepting();
   void Close();
 
   EventLoop& loop() noexcept { return loop_; }
@@ -137,6 +139,8 @@
   void EndStream();
   void SetOnClose(std::function<void()> callback);
   [[nodiscard]] bool response_started() const noexcept { return response_started_; }
+  /// \returns true if unread bytes have arrived.
+  [[nodiscard]] bool HasInput();
 
  private:
   using Parser = beast::http::request_parser<beast::http::string_body>;
@@ -318,6 +322,11 @@
   });
 }
 
+bool IncomingConnection::HasInput() {
+  char byte = 0;
+  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void IncomingConnection::OnReadable() {
   if (awaiting_request_) {
     awaiting_request_ = false;
@@ -562,6 +571,21 @@
   std::make_shared<IncomingConnection>(shared_from_this(), std::move(socket))->Start();
 }
 
+void IncomingServer::Impl::StopAccepting() {
+  if (!acceptor_.is_open()) return;
+  ErrorCode error;
+  acceptor_.non_blocking(true, error);
+  // The kernel has accepted these connections, and would reset them with the requests that they
+  // may already have sent.
+  while (!error) {
+    Socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) AddConnection(std::move(socket));
+  }
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+}
+
 void IncomingServer::Impl::Close() {
   closed_ = true;
   ErrorCode ignored;
@@ -598,12 +622,13 @@
 void IncomingServer::DisableKeepAlive() { impl_->keep_alive_disabled_ = true; }
 
 void IncomingServer::CloseIdle() {
-  while (!impl_->idle_.empty()) impl_->idle_.front()->Close();
+  const auto idle = impl_->idle_;
+  for (const auto& connection : idle) {
+    // A request that has already arrived is read and answered by its pending wait.
+    if (!connection->HasInput()) connection->Close();
+  }
 }
 
-void IncomingServer::StopAccepting() {
-  ErrorCode ignored;
-  impl_->acceptor_.close(ignored);
-}
+void IncomingServer::StopAccepting() { impl_->StopAccepting(); }
 
 }  // namespace briarwood::http
--- a/src/http/outgoing.cc
+++ b/src/http/outgoing.cc
@@ -1,5 +1,7 @@
 #include "briarwood/http/outgoing.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -7,6 +9,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -21,6 +24,10 @@
 
 constexpr std::size_t kReadChunkBytes = 8192;
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
+/// Interim (1xx) and skipped responses of one call. A faulty server may send them without end.
+constexpr std::uint32_t kMaxExtraResponses = 16;
+/// Bytes in the bodies of the skipped responses of one call.
+constexpr std::size_t kMaxSkippedBytes = std::size_t{1024} * 1024;
 /// The connection is closed if the server acknowledges neither data nor probes for this time.
 constexpr std::chrono::milliseconds kPeerTimeout{3000};
 /// Idle time after which a connection is not reused if the server states no timeout.
@@ -63,6 +70,8 @@
     response_seen_ = false;
     written_ = false;
     bytes_sent_ = 0;
+    extra_responses_ = 0;
+    skipped_bytes_ = 0;
     sent_at_.reset();
     ++call_number_;
     if (connected_) {
@@ -93,6 +102,12 @@
   }
 
   [[nodiscard]] bool reusable() const noexcept override { return reusable_ && !closed_; }
+  [[nodiscard]] bool HasInput() noexcept override {
+    if (!connected_) return false;
+    char byte = 0;
+    const ssize_t received = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
   [[nodiscard]] bool connected() const noexcept override { return connected_; }
   [[nodiscard]] common::Time usable_until() const noexcept override { return usable_until_; }
   [[nodiscard]] std::optional<common::Time> sent_at() const noexcept override { return sent_at_; }
@@ -179,7 +194,11 @@
     constexpr unsigned kFirstFinalStatus = 200;
     constexpr unsigned kSwitchingProtocols = 101;
     if (message.result_int() < kFirstFinalStatus) {
-      message.result_int() == kSwitchingProtocols ? End(CallEnd::kInvalid) : ReadHeader();
+      if (message.result_int() == kSwitchingProtocols || !MayReadExtraResponse()) {
+        End(CallEnd::kInvalid);
+      } else {
+        ReadHeader();
+      }
       return;
     }
     response_seen_ = true;
@@ -217,6 +236,11 @@
     const std::uint64_t call = call_number_;
     const std::size_t received = chunk_.size() - parser_->get().body().size;
     if (error == beast::http::error::need_buffer) error = {};
+    if (skip_response_) skipped_bytes_ += received;
+    if (skipped_bytes_ > kMaxSkippedBytes) {
+      End(CallEnd::kInvalid);
+      return;
+    }
     if (received > 0 && !skip_response_ && handlers_.on_data) {
       handlers_.on_data(std::string_view(chunk_.data(), received));
     }
@@ -230,7 +254,7 @@
 
   void OnResponseEnd() {
     if (skip_response_) {
-      ReadHeader();
+      MayReadExtraResponse() ? ReadHeader() : End(CallEnd::kInvalid);
       return;
     }
     complete_ = true;
@@ -239,6 +263,11 @@
     End(CallEnd::kComplete);
   }
 
+  /// Counts an interim or skipped response. \returns false if there were too many.
+  [[nodiscard]] bool MayReadExtraResponse() noexcept {
+    return ++extra_responses_ <= kMaxExtraResponses;
+  }
+
   static bool IsParseError(const ErrorCode& error) {
     return error.category() ==
                beast::http::make_error_code(beast::http::error::bad_method).category() &&
@@ -285,6 +314,8 @@
   std::function<void()> idle_closed_;
   std::uint64_t call_number_ = 0;
   std::size_t bytes_sent_ = 0;
+  std::uint32_t extra_responses_ = 0;
+  std::size_t skipped_bytes_ = 0;
   std::optional<common::Time> sent_at_;
   std::chrono::milliseconds idle_time_{kDefaultIdleTimeout};
   common::Time usable_until_;
--- /dev/null
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -0,0 +1,267 @@
+#include <gmock/gmock.h>
+
+#include <map>
+
+#include "forwarding_fixture.h"
+
+namespace briarwood::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+
+std::string Body(const std::string& response) {
+  return response.substr(response.find("\r\n\r\n") + 4);
+}
+
+std::string IdOf(const RawServer::Request& request) {
+  return HeaderOf(request.head, "Briarwood-Attempt-Id");
+}
+
+/// Backend servers whose responses contain bytes that belong to no response, never end or stall.
+class FaultyBackendTest : public ForwardingTest {
+ protected:
+  /// Sends `piece` until the entry closes the connection; counts the bytes.
+  static void SendWithoutEnd(const RawServer::Connection& connection, const std::string& piece,
+                             std::atomic<std::size_t>& sent) {
+    while (!connection.PeerClosed()) {
+      connection.Send(piece);
+      sent += piece.size();
+    }
+  }
+
+  /// Calls a route whose backend server begins its response with `head` and then repeats `piece`
+  /// without end.
+  /// \returns the response to the caller, after the connection to the backend server is closed.
+  std::string CallEndlessBackend(const std::string& target, const std::string& head,
+                                 const std::string& piece) {
+    std::atomic<bool> closed = false;
+    FakeBackend backend([&](const auto& connection, const auto& request) {
+      std::string begin = head;
+      const std::size_t id = begin.find("{id}");
+      if (id != std::string::npos) begin.replace(id, 4, IdOf(request));
+      connection.Send(begin);
+      SendWithoutEnd(connection, piece, sent_);
+      closed = true;
+    });
+    List("a-1", backend.address());
+    List("m-1", backend.address());
+    StartReadyEntry();
+    const auto started = std::chrono::steady_clock::now();
+    std::string response = Call("POST " + target, "Briarwood-Deadline-Ms: 15000\r\n", "{}");
+    took_ = std::chrono::steady_clock::now() - started;
+    EXPECT_TRUE(Eventually([&closed] { return closed.load(); }));
+    return response;
+  }
+
+  static std::string RequestOf(const std::string& id, const std::string& line) {
+    std::string text = Request(line, "", "{}");
+    text.replace(text.find("id-1"), 4, id);
+    return text;
+  }
+
+  std::atomic<std::size_t> sent_ = 0;
+  std::chrono::steady_clock::duration took_{};
+};
+
+// An entry may have 88 MB of memory, and socket buffers hold some of the bytes.
+constexpr std::size_t kMaxTakenBytes = std::size_t{40} * 1024 * 1024;
+
+// Guards against a response header without end that fills the memory of the entry.
+TEST_F(FaultyBackendTest, ClosesAfterAHeaderWithoutEnd) {
+  const std::string response =
+      CallEndlessBackend("/book/x", "HTTP/1.1 200 OK\r\n", "X-Junk: " + std::string(200, 'j'));
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(sent_, kMaxTakenBytes);
+}
+
+// Guards against bytes that are no HTTP response at all.
+TEST_F(FaultyBackendTest, ClosesAfterBytesThatAreNoResponse) {
+  const std::string response =
+      CallEndlessBackend("/book/x", "", std::string(500, '\x01') + "\r\n\r\n");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(sent_, kMaxTakenBytes);
+}
+
+// Guards against interim responses without end, which use up the processor until the deadline.
+TEST_F(FaultyBackendTest, ClosesAfterInterimResponsesWithoutEnd) {
+  const std::string response = CallEndlessBackend("/book/x", "", "HTTP/1.1 100 Continue\r\n\r\n");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(took_, milliseconds(1000));
+}
+
+// Guards against a body without end that fills the memory, and against one that is delivered
+// without its end as a success.
+TEST_F(FaultyBackendTest, ClosesAfterABodyWithoutEnd) {
+  const std::string response = CallEndlessBackend(
+      "/book/x",
+      "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: {id}\r\nBriarwood-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      Chunk(std::string(8000, 'b')));
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(sent_, kMaxTakenBytes);
+}
+
+// Guards against an event without end that fills the memory.
+TEST_F(FaultyBackendTest, ClosesAfterAnEventWithoutEnd) {
+  const std::string response = CallEndlessBackend(
+      "/ask/x",
+      "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: {id}\r\nBriarwood-Signature: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+      Chunk(std::string(8000, 'e')));
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(sent_, kMaxTakenBytes);
+}
+
+// Guards against a response to another request without end, which is skipped, and against bytes of
+// it that reach the caller.
+TEST_F(FaultyBackendTest, ClosesAfterAForeignResponseWithoutEnd) {
+  const std::string response = CallEndlessBackend(
+      "/book/x",
+      "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: earlier\r\nBriarwood-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      Chunk(std::string(8000, 'f')));
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_LT(took_, milliseconds(1000));
+  EXPECT_THAT(response, Not(HasSubstr("ffff")));
+}
+
+// Guards against a long response that is cut at a limit and then delivered as complete.
+TEST_F(FaultyBackendTest, DeliversALongResponseWholeOrNotAtAll) {
+  for (const std::size_t megabytes : {4U, 12U}) {
+    const std::string body(megabytes * 1024 * 1024, 'l');
+    FakeBackend backend([&body](const auto& connection, const auto& request) {
+      connection.Send(Answer(request, body));
+    });
+    List("a-1", backend.address());
+    StartReadyEntry();
+    const std::string response = Call("POST /book/x", "", "slot");
+    if (response.starts_with("HTTP/1.1 200")) {
+      EXPECT_EQ(Body(response).size(), body.size());
+    } else {
+      EXPECT_GT(megabytes, 8U);
+      EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+    }
+    node_.reset();
+  }
+}
+
+// Guards against a stalled stream that never ends because its server sends a comment, or a byte of
+// an event, now and then.
+TEST_F(FaultyBackendTest, ResumesAStreamWhoseBackendSendsOnlyCommentsOrHalfAnEvent) {
+  for (const char* trickle : {": alive\n\n", "d"}) {
+    const auto serve = [trickle](const RawServer::Connection& connection,
+                                 const RawServer::Request& request) {
+      if (HeaderOf(request.head, "Last-Event-Id").empty()) {
+        connection.Send(StreamHead(request) + Chunk(Event(1)));
+        while (!connection.PeerClosed()) {
+          connection.Send(Chunk(trickle));
+          std::this_thread::sleep_for(milliseconds(100));
+        }
+        return;
+      }
+      connection.Send(StreamHead(request) + Chunk(Event(2)) + "0\r\n\r\n");
+    };
+    FakeBackend first(serve);
+    FakeBackend second(serve);
+    List("m-1", first.address());
+    List("m-2", second.address());
+    StartReadyEntry();
+    const auto started = std::chrono::steady_clock::now();
+    const std::string response = Call("POST /draft/x", "", "{}");
+    EXPECT_THAT(response, HasSubstr("piece1"));
+    EXPECT_THAT(response, HasSubstr("piece2"));
+    EXPECT_THAT(response, Not(HasSubstr("<cut>")));
+    EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(2500)) << trickle;
+    node_.reset();
+  }
+}
+
+// Guards against a slow but sound stream that is cut: its events stay just within the time after
+// which a stream counts as stalled, and arrive a byte at a time.
+TEST_F(FaultyBackendTest, KeepsASlowStreamOfWholeEvents) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request));
+    for (int id = 1; id <= 4; ++id) {
+      const std::string event = Event(id);
+      for (const char byte : event) {
+        connection.Send(Chunk(std::string(1, byte)));
+        std::this_thread::sleep_for(milliseconds(800) / static_cast<int>(event.size()));
+      }
+    }
+    connection.Send("0\r\n\r\n");
+  });
+  List("m-1", backend.address());
+  List("m-2", backend.address());
+  StartReadyEntry();
+  EXPECT_EQ(Body(Call("POST /draft/x", "", "{}")), Event(1) + Event(2) + Event(3) + Event(4));
+  EXPECT_EQ(backend.requests().size(), 1U);
+}
+
+// Guards against a second copy of a response that arrives late, in pieces, while the connection is
+// idle, and is then taken for the response to the next request.
+TEST_F(FaultyBackendTest, DropsAConnectionOnWhichACopyArrivesWhileItIsIdle) {
+  std::mutex mutex;
+  std::map<const void*, int> served;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    int count = 0;
+    {
+      const std::lock_guard lock(mutex);
+      count = ++served[&connection];
+    }
+    const std::string answer = Answer(request, "answer to " + IdOf(request));
+    connection.Send(answer);
+    if (count > 1) return;
+    std::this_thread::sleep_for(milliseconds(20));
+    connection.Send(answer.substr(0, 30));
+    std::this_thread::sleep_for(milliseconds(5));
+    connection.Send(answer.substr(30));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "call-" + std::to_string(i);
+    const std::string response = RawCall(node_->port(), RequestOf(id, "POST /book/x")).Finish();
+    EXPECT_THAT(response, HasSubstr("answer to " + id));
+    std::this_thread::sleep_for(milliseconds(3 * i));
+  }
+}
+
+// Guards against a late second copy of a rejection that is taken for the response to a further
+// attempt of the same request on the same connection: the caller would be told that a request which
+// runs has not run.
+TEST_F(FaultyBackendTest, SendsAnotherAttemptOfARequestOverAnotherConnection) {
+  std::mutex mutex;
+  std::map<const void*, std::map<std::string, std::string>> rejections;
+  std::atomic<int> runs = 0;
+  std::atomic<int> attempts = 0;
+  const auto serve = [&](const RawServer::Connection& connection,
+                         const RawServer::Request& request) {
+    const std::string rejection =
+        "HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " + IdOf(request) +
+        "\r\nContent-Length: 0\r\n\r\n";
+    const std::lock_guard lock(mutex);
+    auto& earlier = rejections[&connection];
+    if (earlier.contains(IdOf(request))) connection.Send(earlier[IdOf(request)]);
+    if (++attempts <= 2) {
+      earlier[IdOf(request)] = rejection;
+      connection.Send(rejection);
+      return;
+    }
+    ++runs;
+    connection.Send(Answer(request, "booked"));
+  };
+  FakeBackend first(serve);
+  FakeBackend second(serve);
+  List("a-1", first.address());
+  List("a-2", second.address());
+  StartReadyEntry();
+  const std::string response = Call("POST /book/x", "", "slot");
+  EXPECT_THAT(response, HasSubstr("booked"));
+  EXPECT_EQ(runs, 1);
+}
+
+}  // namespace
+}  // namespace briarwood::forwarding
--- /dev/null
+++ b/tests/http/incoming_test.cc
@@ -0,0 +1,92 @@
+#include "briarwood/http/incoming.h"
+
+#include <gmock/gmock.h>
+
+#include <chrono>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "support/raw_call.h"
+
+namespace briarwood::http {
+namespace {
+
+using std::chrono::milliseconds;
+using ::testing::StartsWith;
+using testing_support::RawCall;
+
+constexpr const char* kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+/// Server whose event loop runs only when the test lets it run.
+class IncomingStopTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto server = IncomingServer::Start(
+        loop_, {.listen = "127.0.0.1:0"}, [this](const std::shared_ptr<IncomingRequest>& request) {
+          ++handled_;
+          request->Respond({.status = 200, .reason = {}, .headers = {}}, "served");
+        });
+    ASSERT_TRUE(server.ok()) << server.error();
+    server_ = std::move(server).value();
+  }
+
+  /// Runs the loop until no connection is open.
+  void RunUntilClosed() {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (server_->connections() > 0 && std::chrono::steady_clock::now() < end) {
+      loop_.restart();
+      loop_.run_for(milliseconds(10));
+    }
+  }
+
+  EventLoop loop_{1};
+  int handled_ = 0;
+  std::unique_ptr<IncomingServer> server_;
+};
+
+// Guards against a planned stop that resets connections in the listen queue, whose requests have
+// been sent in the moment of the stop.
+TEST_F(IncomingStopTest, AnswersConnectionsThatTheKernelHasAccepted) {
+  std::vector<std::unique_ptr<RawCall>> calls;
+  for (int i = 0; i < 20; ++i) {
+    calls.push_back(std::make_unique<RawCall>(server_->port(), kRequest));
+  }
+  server_->DisableKeepAlive();
+  server_->StopAccepting();
+  server_->CloseIdle();
+  RunUntilClosed();
+  EXPECT_EQ(handled_, 20);
+  for (const auto& call : calls) EXPECT_THAT(call->Finish(), StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against a planned stop that closes a connection as idle although a request has arrived on
+// it.
+TEST_F(IncomingStopTest, AnswersARequestThatArrivesBeforeIdleConnectionsAreClosed) {
+  RawCall idle(server_->port(), "GET /x HTTP/1.1\r\nHost: h\r\n");
+  loop_.run_for(milliseconds(50));
+  RawCall waiting(server_->port(), kRequest);
+  // Accepts the connection without reading its request.
+  while (server_->connections() < 2) loop_.run_one_for(milliseconds(50));
+  server_->DisableKeepAlive();
+  server_->StopAccepting();
+  server_->CloseIdle();
+  idle.Disconnect();
+  RunUntilClosed();
+  EXPECT_EQ(handled_, 1);
+  EXPECT_THAT(waiting.Finish(), StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against connections that stay open without a request during a planned stop.
+TEST_F(IncomingStopTest, ClosesConnectionsWithoutARequest) {
+  RawCall unused(server_->port(), "");
+  while (server_->connections() < 1) loop_.run_one_for(milliseconds(50));
+  loop_.run_for(milliseconds(20));
+  server_->StopAccepting();
+  server_->CloseIdle();
+  EXPECT_EQ(server_->connections(), 0U);
+  EXPECT_EQ(handled_, 0);
+}
+
+}  // namespace
+}  // namespace briarwood::http
