--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -52,8 +52,8 @@
 /// running request of 200 tokens adds 0.11 ms to each step, which is as much after about 100 steps.
 constexpr double kTokensPerWorkUnit = 1000;
 /// Minimum length of the shared parts of a prompt for which the request goes to the server that has
-/// cached them. An engine reads fewer tokens in about 10 ms, which is less than a busy server delays
-/// the request.
+/// cached them. An engine reads fewer tokens in about 10 ms, which is less than a busy server
+/// delays the request.
 constexpr std::uint64_t kMinAffinityTokens = 1000;
 /// Share of the shared prompt tokens that an engine does not find in its cache and has to process.
 constexpr double kUncachedShare = 0.3;
