--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -244,7 +244,7 @@
     return "127.0.0.1:" + std::to_string(relay.rpc_port());
   }
 
-  std::vector<std::string> Addresses(std::size_t count) const {
+  [[nodiscard]] std::vector<std::string> Addresses(std::size_t count) const {
     std::vector<std::string> addresses;
     for (std::size_t i = 0; i < count; ++i) addresses.push_back(members_[i]->address);
     return addresses;
--- a/tests/control/leader_duties_test.cc
+++ b/tests/control/leader_duties_test.cc
@@ -137,6 +137,7 @@
   Fleet fleet;
   fleet.holder_change_ms = 3000;
   std::vector<std::unique_ptr<Leader>> members;
+  members.reserve(5);
   for (int i = 0; i < 5; ++i) members.push_back(std::make_unique<Leader>(fleet, 0));
   fleet.now_ms += 3000;
   std::uint64_t term = 0;
--- a/tests/distribution/parent_order_test.cc
+++ b/tests/distribution/parent_order_test.cc
@@ -10,6 +10,7 @@
 
 std::vector<std::string> Members(int count) {
   std::vector<std::string> members;
+  members.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) members.push_back("10." + std::to_string(i) + ".0.7:7340");
   return members;
 }
@@ -49,7 +50,7 @@
   const auto all = OrderParents("entry/vm-1", members);
   std::reverse(members.begin(), members.end());
   EXPECT_EQ(OrderParents("entry/vm-1", members), all);
-  const std::string last = all.back();
+  const std::string& last = all.back();
   std::erase(members, last);
   const auto fewer = OrderParents("entry/vm-1", members);
   EXPECT_TRUE(std::equal(fewer.begin(), fewer.end(), all.begin()));
