--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -49,6 +49,7 @@
 // been sent in the moment of the stop.
 TEST_F(IncomingStopTest, AnswersConnectionsThatTheKernelHasAccepted) {
   std::vector<std::unique_ptr<RawCall>> calls;
+  calls.reserve(20);
   for (int i = 0; i < 20; ++i) {
     calls.push_back(std::make_unique<RawCall>(server_->port(), kRequest));
   }
