--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -272,5 +272,27 @@
   for (int i = 0; i < 10; ++i) EXPECT_EQ(placement.Pick(Request(1), kStart)->id, Id(1));
 }
 
+// Guards against short questions that wait behind long prompts on a day that begins with cold caches:
+// the engine to which the shared parts of the prompts lead reads long ones, while others are idle.
+TEST(PlacementTest, ShortQuestionsBesideColdLongPromptsChooseByLoad) {
+  constexpr double kLongPromptWork = 17;
+  constexpr double kShortPromptWork = 2;
+  Placement placement({.choices = 4});
+  placement.SetBackends(Engines(4, 48));
+  PlacementRequest draft = Request(2, 99);
+  draft.work = kLongPromptWork;
+  const auto busy = placement.Pick(draft, kStart);
+  ASSERT_TRUE(busy);
+  placement.OnSent(busy->id, draft.tier, /*alone=*/false, kStart, draft.work);
+  placement.Refresh(kStart + milliseconds(100));
+  for (int i = 0; i < 40; ++i) {
+    PlacementRequest question = Request(0);
+    question.work = kShortPromptWork;
+    const auto choice = placement.Pick(question, kStart + milliseconds(100));
+    ASSERT_TRUE(choice);
+    EXPECT_NE(choice->id, busy->id);
+  }
+}
+
 }  // namespace
 }  // namespace briarwood::routing
