--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -272,8 +272,9 @@
   for (int i = 0; i < 10; ++i) EXPECT_EQ(placement.Pick(Request(1), kStart)->id, Id(1));
 }
 
-// Guards against short questions that wait behind long prompts on a day that begins with cold caches:
-// the engine to which the shared parts of the prompts lead reads long ones, while others are idle.
+// Guards against short questions that wait behind long prompts on a day that begins with cold
+// caches: the engine to which the shared parts of the prompts lead reads long ones, while others
+// are idle.
 TEST(PlacementTest, ShortQuestionsBesideColdLongPromptsChooseByLoad) {
   constexpr double kLongPromptWork = 17;
   constexpr double kShortPromptWork = 2;
