--- /dev/null
+++ b/tests/forwarding/planned_stop_test.cc
@@ -0,0 +1,135 @@
+#include <gmock/gmock.h>
+
+#include "forwarding_fixture.h"
+
+namespace briarwood::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+using ::testing::HasSubstr;
+using ::testing::StartsWith;
+
+std::string Body(const std::string& response) {
+  return response.substr(response.find("\r\n\r\n") + 4);
+}
+
+/// Planned stops whose limit is shorter than the answers that callers ask for.
+class PlannedStopTest : public ForwardingTest {
+ protected:
+  static constexpr int kEvents = 20;
+  static constexpr milliseconds kEventInterval{100};
+
+  /// Sends a stream of two seconds.
+  static void SendLongStream(const RawServer::Connection& connection,
+                             const RawServer::Request& request) {
+    connection.Send(StreamHead(request));
+    for (int id = 1; id <= kEvents; ++id) {
+      std::this_thread::sleep_for(kEventInterval);
+      connection.Send(Chunk(Event(id)));
+    }
+    connection.Send("0\r\n\r\n");
+  }
+
+  static std::string LongStream() {
+    std::string events;
+    for (int id = 1; id <= kEvents; ++id) events += Event(id);
+    return events;
+  }
+
+  std::string Ask(const std::string& path) {
+    return Call("POST " + path, "Briarwood-Token-Usage: 100,20\r\n", "{}");
+  }
+};
+
+// Guards against a stopping entry that takes a stream which cannot end before the process does, and
+// then closes it in the middle. The caller could have gone to another entry at once.
+TEST_F(PlannedStopTest, TakesNoStreamThatOutlastsTheStop) {
+  FakeBackend backend(&SendLongStream);
+  List("m-1", backend.address());
+  StartReadyEntry();
+  for (int i = 0; i < 3; ++i) ASSERT_EQ(Body(Ask("/ask/" + std::to_string(i))), LongStream());
+  std::thread stop([this] { static_cast<void>(node_->Drain(milliseconds(3000))); });
+  ASSERT_TRUE(Eventually([this] { return !node_->Ready(); }));
+  const std::string in_time = Ask("/ask/in-time");
+  const std::size_t ran = backend.requests().size();
+  const std::string late = Ask("/ask/late");
+  stop.join();
+  node_.reset();
+  EXPECT_EQ(Body(in_time), LongStream());
+  EXPECT_THAT(late, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(late, HasSubstr("Retry-After: 0.0"));
+  EXPECT_EQ(backend.requests().size(), ran);
+}
+
+// Guards against a stopping entry that takes a stream without knowing how long it will last.
+TEST_F(PlannedStopTest, TakesNoStreamOfUnknownLengthThatMayOutlastTheStop) {
+  FakeBackend backend(&SendLongStream);
+  List("m-1", backend.address());
+  StartReadyEntry();
+  std::thread stop([this] { static_cast<void>(node_->Drain(milliseconds(3000))); });
+  ASSERT_TRUE(Eventually([this] { return !node_->Ready(); }));
+  const std::string response = Ask("/ask/x");
+  stop.join();
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+  EXPECT_TRUE(backend.requests().empty());
+}
+
+// Guards against short calls that a stopping entry rejects while it still has time for them.
+TEST_F(PlannedStopTest, TakesCallsThatEndBeforeTheStop) {
+  FakeBackend backend(
+      [](const auto& connection, const auto& request) { connection.Send(Answer(request, "ok")); });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  std::thread stop([this] { EXPECT_TRUE(node_->Drain(milliseconds(7000))); });
+  ASSERT_TRUE(Eventually([this] { return !node_->Ready(); }));
+  for (int i = 0; i < 20; ++i) EXPECT_THAT(Call("GET /read/x"), StartsWith("HTTP/1.1 200"));
+  stop.join();
+}
+
+// Guards against a request that is read, waits for a backend server, and is closed without an
+// answer at the end of the stop, although nothing has run.
+TEST_F(PlannedStopTest, RejectsWhatStillWaitsForABackend) {
+  StartReadyEntry();
+  const std::uint16_t port = node_->port();
+  std::thread stop([this] {
+    static_cast<void>(node_->Drain(milliseconds(2800)));
+    node_.reset();
+  });
+  std::this_thread::sleep_for(milliseconds(1700));
+  const std::string response = RawCall(port, Request("POST /draft/x", "", "{}")).Finish();
+  stop.join();
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+}
+
+// Guards against a caller whose connection closes without any answer because its backend server
+// had not responded at the end of the stop. What may have run is not reported as "not run".
+TEST_F(PlannedStopTest, AnswersWhatHasNotBegunAtTheEnd) {
+  FakeBackend backend([](const auto& connection, const auto& /*request*/) {
+    Eventually([&connection] { return connection.PeerClosed(); });
+  });
+  List("m-1", backend.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /ask/x", "", "{}"));
+  ASSERT_TRUE(Eventually([&] { return backend.requests().size() == 1; }));
+  EXPECT_FALSE(node_->Drain(milliseconds(2800)));
+  node_.reset();
+  EXPECT_THAT(call.Finish(), StartsWith("HTTP/1.1 502"));
+}
+
+// Guards against an aborted stream that looks complete to its caller.
+TEST_F(PlannedStopTest, CutsAStreamThatOutlastsTheStopVisibly) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)));
+    Eventually([&connection] { return connection.PeerClosed(); });
+  });
+  List("m-1", backend.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /ask/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("piece1"));
+  EXPECT_FALSE(node_->Drain(milliseconds(2800)));
+  node_.reset();
+  EXPECT_EQ(Body(call.Finish()), Event(1) + "<cut>");
+}
+
+}  // namespace
+}  // namespace briarwood::forwarding
