Log how far an answer had come when it ended, and what a stop leaves open

A loss beside a change could not be told from one at a stop or after silence: request_end named neither the events that were passed on nor the silence of the server, and a request that was open when a stopping entry ended had no line at all, only a count in drained. request_end now has events and silent_ms, and each request that a stop cuts or leaves unanswered has its own line.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -457,6 +457,7 @@
     request_->StartStream(head);
   }
   request_->Write(event.text);
+  ++delivered_events_;
   owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
 }
 
@@ -730,14 +731,13 @@
   End("failed", status, reason);
 }
 
-void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
-  if (state_ == State::kEnded) return;
-  const auto self = shared_from_this();
-  state_ = State::kEnded;
+void Exchange::LogEnd(std::string_view outcome, std::uint16_t status,
+                      std::string_view reason) const {
   const common::Time now = common::BootClock::now();
   // "sends" is the number of attempts; "first_ms" is the time from the arrival of the request to
-  // the start of the response, or -1 if there was none; "list_age_ms" is the age of the list of
-  // backend servers.
+  // the start of the response, or -1 if there was none; "events" counts those passed to the caller;
+  // "silent_ms" is the time since the last progress of the attempt that was open, or -1;
+  // "list_age_ms" is the age of the list of backend servers.
   LogLine line("request_end");
   line.Add("request", facts_.id)
       .Add("outcome", outcome)
@@ -751,10 +751,23 @@
       .Add("sends", sent_attempts_)
       .Add("queued_ms", Millis(queued_for_))
       .Add("first_ms", first_byte_at_ ? Millis(*first_byte_at_ - request_->arrived_at()) : -1)
+      .Add("events", delivered_events_)
+      .Add("silent_ms", attempt_ ? Millis(now - attempt_->progress_at) : -1)
       .Add("total_ms", Millis(now - request_->arrived_at()))
       .Add("config_index", owner_.table_index_.value());
   if (owner_.list_read_at_) line.Add("list_age_ms", Millis(now - *owner_.list_read_at_));
   owner_.log_.Info(line.text());
+}
+
+void Exchange::LogCutByStop() const {
+  LogEnd(response_started_ ? "cut" : "unanswered", 0, "stopped");
+}
+
+void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
+  if (state_ == State::kEnded) return;
+  const auto self = shared_from_this();
+  state_ = State::kEnded;
+  LogEnd(outcome, status, reason);
   if (!service_.empty()) {
     Forwarder::ServiceState& state = owner_.StateOf(service_);
     if (in_scheduler_) {
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -217,6 +217,10 @@
                 .text());
 }
 
+void Forwarder::LogOpenRequests() const {
+  for (const auto& [number, exchange] : exchanges_) exchange->LogCutByStop();
+}
+
 void Forwarder::Tick(common::Time now) {
   std::vector<std::shared_ptr<Exchange>> exchanges;
   exchanges.reserve(exchanges_.size());
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -178,6 +178,7 @@
     if (!reporter_.Flush(std::clamp(left, kDrainPollInterval, kUsageFlushTimeout))) {
       log_.Warn(LogLine("usage_not_flushed").Add("records", reporter_.held()).text());
     }
+    LogOpenRequests();
     // "idle" is false if `limit` elapsed before all requests and connections had ended.
     log_.Info(LogLine("drained").Add("idle", idle).Add("in_flight", InFlight()).text());
     return idle;
@@ -289,6 +290,15 @@
     done.get_future().wait();
   }
 
+  void LogOpenRequests() {
+    std::promise<void> done;
+    boost::asio::post(loop_, [&] {
+      forwarder_.LogOpenRequests();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
   [[nodiscard]] std::size_t InFlight() const noexcept { return in_flight_; }
 
   /// Runs on the thread that applies sync responses. No response is applied meanwhile, so all rows
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -55,6 +55,8 @@
   void OnConfiguration();
   /// Ends a hold, a stalled attempt or the request itself when its time has run out.
   void CheckTimeouts(common::Time now);
+  /// Logs that the request was open when the process stopped.
+  void LogCutByStop() const;
 
  private:
   enum class State : std::uint8_t { kHeld, kQueued, kRunning, kEnded };
@@ -111,6 +113,7 @@
   /// started.
   void Fail(std::uint16_t status, std::string_view reason);
   void End(std::string_view outcome, std::uint16_t status, std::string_view reason);
+  void LogEnd(std::string_view outcome, std::uint16_t status, std::string_view reason) const;
   [[nodiscard]] bool retryable() const;
   [[nodiscard]] common::RequestId id() const;
 
@@ -134,6 +137,7 @@
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
   std::uint32_t sent_attempts_ = 0;
+  std::uint64_t delivered_events_ = 0;
   bool in_scheduler_ = false;
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
   bool last_attempt_rejected_ = false;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -62,6 +62,9 @@
   /// Ends requests that have run out of time and dispatches queued ones; call it about every 10 ms.
   void Tick(common::Time now);
 
+  /// Logs the requests that are open when the process stops.
+  void LogOpenRequests() const;
+
   [[nodiscard]] std::size_t in_flight() const noexcept { return exchanges_.size(); }
   [[nodiscard]] bool has_configuration() const noexcept { return table_ && table_->known(); }
   [[nodiscard]] bool has_backends() const noexcept { return list_read_at_.has_value(); }
