Keep an answer on a silent server until another one has begun to respond

Callers lost answers of sound servers: after a second without an event, the entry closed the connection to the server and only then looked for another one. When none had room, the queue dropped the request, the next server rejected it or broke off, the answer was aborted, although its server would have gone on. Cause: an attempt was ended before its continuation was certain. Ruled out for these cases: stop and change of the configuration, the tests have neither. Change: the silent attempt stays open beside its replacement; whichever makes progress first goes on, a rejected or failed replacement leaves the silent one in place, and the silent one ends as soon as the replacement's response begins. A replacement is sent only when a server has room and the retry is allowed.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -59,13 +59,16 @@
 constexpr double kUncachedShare = 0.3;
 
 /// An attempt is stalled if nothing has arrived for this multiple of the route's target for the
-/// first event or, after the first event, for the gap between events. In normal operation
-/// 99% of requests are answered within the target.
+/// first event or, after the first event, for the gap between events. Sound servers may be silent
+/// for longer, so a stalled attempt is kept until another one has begun to respond. In normal
+/// operation 99% of requests are answered within the target.
 constexpr int kFirstEventStallTargets = 2;
 constexpr int kGapStallTargets = 5;
 /// Lower limits of these timeouts, before and after the first event.
 constexpr milliseconds kMinFirstEventStallTimeout{250};
 constexpr milliseconds kMinGapStallTimeout{1000};
+/// Interval between two searches for a server that replaces a silent one.
+constexpr milliseconds kReplacementInterval{50};
 
 /// Share of the first event's target that the engine may take; the rest is for the network and the
 /// queue.
@@ -120,7 +123,11 @@
 
 Exchange::Exchange(Forwarder& owner, std::uint64_t number,
                    std::shared_ptr<http::IncomingRequest> request)
-    : owner_(owner), number_(number), request_(std::move(request)), table_(owner.table_) {}
+    : owner_(owner),
+      number_(number),
+      request_(std::move(request)),
+      table_(owner.table_),
+      last_progress_at_(request_->arrived_at()) {}
 
 common::RequestId Exchange::id() const { return common::RequestId(std::to_string(number_)); }
 
@@ -210,6 +217,12 @@
   return tokens;
 }
 
+std::uint64_t Exchange::PrefixHash() const {
+  if (!route_->prefix_affinity() || SharedTokens() < kMinAffinityTokens) return 0;
+  // The last part belongs to this request only; the one before it ends the longest shared prefix.
+  return common::Hash64(facts_.prompt_parts[facts_.prompt_parts.size() - 2].id);
+}
+
 double Exchange::Work() const {
   if (!route_->prefix_affinity()) return 1;
   // Shared parts are mostly cached by the server that prefix affinity selects.
@@ -228,10 +241,7 @@
   queued.class_id = policy.id;
   queued.customer = customer_;
   queued.capability.service = service_;
-  if (route_->prefix_affinity() && SharedTokens() >= kMinAffinityTokens) {
-    // The last part belongs to this request only; the one before it ends the longest shared prefix.
-    queued.prefix_hash = common::Hash64(facts_.prompt_parts[facts_.prompt_parts.size() - 2].id);
-  }
+  queued.prefix_hash = PrefixHash();
   queued.input_tokens = facts_.prompt_tokens;
   queued.work = Work();
   queued.expected_output_tokens =
@@ -265,31 +275,36 @@
   if (queued_at_) queued_for_ += now - *queued_at_;
   queued_at_.reset();
   state_ = State::kRunning;
-  ++attempt_number_;
+  if (StartAttempt(dispatch.choice.id, dispatch.picked.tier, dispatch.picked.request.work, now)) {
+    return;
+  }
+  state_ = State::kQueued;
+  queued_at_ = now;
+  owner_.StateOf(service_).scheduler.PutBack(id());
+}
+
+bool Exchange::StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
+                            double work, common::Time now) {
+  auto connection = owner_.pool_.Acquire(backend_server, now, sent_to_.contains(backend_server));
+  if (connection == nullptr) {
+    owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work);
+    owner_.placement_.OnFull(backend_server, /*alone=*/false, now);
+    return false;
+  }
   attempt_.emplace();
-  attempt_->backend_server = dispatch.choice.id;
-  attempt_->tier = dispatch.picked.tier;
+  attempt_->number = ++attempt_number_;
+  attempt_->backend_server = backend_server;
+  attempt_->tier = tier;
   attempt_->started_at = now;
   attempt_->progress_at = now;
-  attempt_->work = dispatch.picked.request.work;
-  if (attempt_->work > 1) {
-    attempt_->prompt_work = attempt_->work;
-    owner_.StateOf(service_).prompts.OnSent(attempt_->prompt_work);
-  }
-  attempt_->connection =
-      owner_.pool_.Acquire(dispatch.choice.id, now, sent_to_.contains(dispatch.choice.id));
-  if (attempt_->connection == nullptr) {
-    owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
-                              attempt_->work);
-    owner_.placement_.OnFull(dispatch.choice.id, /*alone=*/false, now);
-    ReleasePromptWork();
-    attempt_.reset();
-    state_ = State::kQueued;
-    queued_at_ = now;
-    owner_.StateOf(service_).scheduler.PutBack(id());
-    return;
+  attempt_->work = work;
+  attempt_->connection = std::move(connection);
+  if (work > 1) {
+    attempt_->prompt_work = work;
+    owner_.StateOf(service_).prompts.OnSent(work);
   }
   SendAttempt();
+  return true;
 }
 
 void Exchange::SendAttempt() {
@@ -307,48 +322,71 @@
                                                .tier = tier_,
                                                .last_event_id = last_event_});
   attempt_->reused_connection = attempt_->connection->connected();
-  const std::uint64_t attempt = attempt_number_;
+  const std::uint64_t attempt = attempt_->number;
   const auto self = shared_from_this();
-  const auto current = [self, attempt] {
-    return self->attempt_ && self->attempt_number_ == attempt;
-  };
   attempt_->connection->Send(http::SerializeRequest(head, request_->body()->size(), has_body),
                              request_->body(),
                              std::min(kConnectTimeout, std::max(left, milliseconds(1))),
                              {.on_head =
-                                  [self, current](const http::ResponseHead& response) {
-                                    return !current() || self->OnHead(response);
+                                  [self, attempt](const http::ResponseHead& response) {
+                                    if (self->IsSilentAttempt(attempt))
+                                      return self->OnSilentAttemptHead(response);
+                                    return !self->IsCurrent(attempt) || self->OnHead(response);
                                   },
                               .on_data =
-                                  [self, current](std::string_view data) {
-                                    if (current()) self->OnData(data);
+                                  [self, attempt](std::string_view data) {
+                                    if (self->IsSilentAttempt(attempt)) {
+                                      self->OnSilentAttemptData(data);
+                                    } else if (self->IsCurrent(attempt)) {
+                                      self->OnData(data);
+                                    }
                                   },
                               .on_end =
-                                  [self, current](http::CallEnd end) {
-                                    if (current()) self->OnEnd(end);
+                                  [self, attempt](http::CallEnd end) {
+                                    if (self->IsSilentAttempt(attempt)) {
+                                      self->OnSilentAttemptEnd(end);
+                                    } else if (self->IsCurrent(attempt)) {
+                                      self->OnEnd(end);
+                                    }
                                   }});
 }
 
-bool Exchange::BelongsToRequest(const ResponseMetadata& facts) const {
+bool Exchange::IsCurrent(std::uint64_t attempt) const {
+  return attempt_ && attempt_->number == attempt;
+}
+
+bool Exchange::IsSilentAttempt(std::uint64_t attempt) const {
+  return silent_attempt_ && silent_attempt_->number == attempt;
+}
+
+bool Exchange::BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const {
   if (facts_.id.empty()) return true;
   // Servers name the request that they respond to. On a reused connection a response that names
   // none may be an extra response to the previous request.
-  if (facts.request_id.empty()) return !attempt_->reused_connection;
+  if (facts.request_id.empty()) return !attempt.reused_connection;
   return facts.request_id == facts_.id;
 }
 
+void Exchange::LogForeignResponse(const ResponseMetadata& facts, const Attempt& attempt) const {
+  // "answers" is the id of the request that the response names.
+  owner_.log_.Warn(LogLine("foreign_response")
+                       .Add("request", facts_.id)
+                       .Add("backend", attempt.backend_server.value())
+                       .Add("answers", facts.request_id)
+                       .text());
+  owner_.metrics_.CountEvent("foreign_response");
+}
+
 bool Exchange::OnHead(const http::ResponseHead& head) {
   ResponseMetadata facts = owner_.options_.codec.read_response(head);
-  if (!BelongsToRequest(facts)) {
-    // The response is skipped; "answers" is the id of the request that it names.
-    owner_.log_.Warn(LogLine("foreign_response")
-                         .Add("request", facts_.id)
-                         .Add("backend", attempt_->backend_server.value())
-                         .Add("answers", facts.request_id)
-                         .text());
-    owner_.metrics_.CountEvent("foreign_response");
+  if (!BelongsToRequest(facts, *attempt_)) {
+    LogForeignResponse(facts, *attempt_);
     return false;
   }
+  if (silent_attempt_ && IsDeliverable(head, facts)) {
+    may_have_run_on_.insert(silent_attempt_->backend_server);
+    ReleaseSilentAttempt(AttemptResult::kFailure);
+  }
   attempt_->head = head;
   attempt_->has_head = true;
   if (facts.load) {
@@ -367,8 +405,8 @@
   return true;
 }
 
-void Exchange::ReleasePromptWork() {
-  owner_.StateOf(service_).prompts.OnDone(std::exchange(attempt_->prompt_work, 0));
+void Exchange::ReleasePromptWork(Attempt& attempt) {
+  owner_.StateOf(service_).prompts.OnDone(std::exchange(attempt.prompt_work, 0));
 }
 
 void Exchange::RecordProgress() {
@@ -390,7 +428,7 @@
     owner_.StateOf(service_).prompts.Observe(now - attempt_->started_at > limit, kFirstEventWeight,
                                              now);
   }
-  ReleasePromptWork();
+  ReleasePromptWork(*attempt_);
   if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
   owner_.placement_.OnWorkDone(attempt_->backend_server, attempt_->work - 1);
   attempt_->work = 1;
@@ -405,10 +443,10 @@
     BufferBody(data);
     return;
   }
-  const std::uint64_t attempt = attempt_number_;
+  const std::uint64_t attempt = attempt_->number;
   for (const StreamEvent& event : attempt_->events.Feed(data)) {
     OnEvent(event);
-    if (!attempt_ || attempt_number_ != attempt) return;
+    if (!IsCurrent(attempt)) return;
   }
   if (attempt_->events.incomplete_event().size() > kMaxEventBytes) {
     OnFailedAttempt(http::CallEnd::kInvalid);
@@ -448,8 +486,7 @@
       return;
     }
   }
-  // Without an id, an event of a numbered stream is a comment or a keep-alive.
-  if (event.id || (!last_event_ && event.has_data)) RecordProgress();
+  if (IsProgress(event)) RecordProgress();
   if (event.id) last_event_ = event.id;
   if (!std::exchange(response_started_, true)) {
     http::ResponseHead head = attempt_->head;
@@ -461,6 +498,12 @@
   owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
 }
 
+bool Exchange::IsProgress(const StreamEvent& event) const {
+  if (event.id) return !last_event_ || *event.id > *last_event_;
+  // Without an id, an event of a numbered stream is a comment or a keep-alive.
+  return !last_event_ && event.has_data;
+}
+
 void Exchange::OnEnd(http::CallEnd end) {
   const auto self = shared_from_this();
   const bool rejected =
@@ -477,6 +520,11 @@
 void Exchange::OnCompleteResponse() {
   const std::uint16_t status = attempt_->head.status;
   may_have_run_on_.insert(attempt_->backend_server);
+  if (silent_attempt_) {
+    // The response cannot be passed on, see OnHead.
+    ReturnToSilentAttempt(AttemptResult::kSuccess);
+    return;
+  }
   if (attempt_->streaming) {
     if (!attempt_->events.incomplete_event().empty()) {
       OnFailedAttempt(http::CallEnd::kCutShort);
@@ -525,19 +573,27 @@
   End("answered", status, "");
 }
 
-void Exchange::OnFailedAttempt(http::CallEnd end) {
-  const bool sent = end != http::CallEnd::kNotSent;
-  if (sent) may_have_run_on_.insert(attempt_->backend_server);
-  owner_.metrics_.CountEvent(NameOf(end));
+void Exchange::LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const {
   owner_.log_.Warn(LogLine("attempt_failed")
                        .Add("request", facts_.id)
-                       .Add("backend", attempt_->backend_server.value())
+                       .Add("backend", attempt.backend_server.value())
                        .Add("end", NameOf(end))
                        .Add("attempt", sent_attempts_)
-                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
-                       .Add("status", attempt_->has_head ? attempt_->head.status : 0)
+                       .Add("after_ms", Millis(common::BootClock::now() - attempt.started_at))
+                       .Add("status", attempt.has_head ? attempt.head.status : 0)
                        .text());
+}
+
+void Exchange::OnFailedAttempt(http::CallEnd end) {
+  const bool sent = end != http::CallEnd::kNotSent;
+  if (sent) may_have_run_on_.insert(attempt_->backend_server);
+  owner_.metrics_.CountEvent(NameOf(end));
+  LogFailedAttempt(*attempt_, end);
   attempt_->connection->Close();
+  if (silent_attempt_) {
+    ReturnToSilentAttempt(AttemptResult::kFailure);
+    return;
+  }
   ReleaseAttempt(AttemptResult::kFailure);
   if (TryRetry(sent)) return;
   if (sent || response_started_ || !may_have_run_on_.empty()) {
@@ -560,7 +616,12 @@
                        .text());
   // The connection leads to a different server than the one it is pooled for.
   if (other) attempt_->connection->Close();
-  ReleaseAttempt(other ? AttemptResult::kFailure : AttemptResult::kFull);
+  const AttemptResult result = other ? AttemptResult::kFailure : AttemptResult::kFull;
+  if (silent_attempt_) {
+    ReturnToSilentAttempt(result);
+    return;
+  }
+  ReleaseAttempt(result);
   last_attempt_rejected_ = true;
   if (TryRetry(/*may_have_run=*/false)) return;
   if (response_started_ || !may_have_run_on_.empty()) {
@@ -613,24 +674,115 @@
   return now - attempt_->progress_at > limit;
 }
 
-void Exchange::RetryStalledAttempt(common::Time now) {
-  may_have_run_on_.insert(attempt_->backend_server);
-  if (!MayRetry(/*may_have_run=*/true, now) || !owner_.retry_budget_.TryRetry(service_, now)) {
-    // Checked again only after the stall timeout has elapsed once more.
-    attempt_->progress_at = now;
+void Exchange::ReplaceSilentAttempt(common::Time now) {
+  if (silent_attempt_) {
+    may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReturnToSilentAttempt(AttemptResult::kFailure);
+    return;
+  }
+  if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
+  next_replacement_at_ = now + kReplacementInterval;
+  const std::size_t ran_on =
+      may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
+  if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
+  const double work = Work();
+  const common::Tier tier = attempt_->tier;
+  if (work > 1 && !owner_.StateOf(service_).prompts.Admits(work, tier)) return;
+  owner_.placement_.Refresh(now);
+  const auto choice = owner_.placement_.Pick({.capability = {.service = service_},
+                                              .tier = tier,
+                                              .prefix_hash = PrefixHash(),
+                                              .work = work,
+                                              .avoid = attempt_->backend_server},
+                                             now);
+  if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
+  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
+  silent_attempt_ = std::exchange(attempt_, std::nullopt);
+  if (!StartAttempt(choice->id, tier, work, now)) {
+    attempt_ = std::exchange(silent_attempt_, std::nullopt);
     return;
   }
   owner_.metrics_.CountEvent("stalled");
   // "began" is true if the response has started, see Attempt::has_progress.
   owner_.log_.Warn(LogLine("attempt_stalled")
+                       .Add("request", facts_.id)
+                       .Add("backend", silent_attempt_->backend_server.value())
+                       .Add("silent_ms", Millis(now - silent_attempt_->progress_at))
+                       .Add("began", silent_attempt_->has_progress)
+                       .Add("replacement", choice->id.value())
+                       .text());
+}
+
+void Exchange::ReturnToSilentAttempt(AttemptResult result) {
+  Release(*std::exchange(attempt_, std::nullopt), result);
+  attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  owner_.log_.Info(LogLine("attempt_resumed")
                        .Add("request", facts_.id)
                        .Add("backend", attempt_->backend_server.value())
-                       .Add("silent_ms", Millis(now - attempt_->progress_at))
-                       .Add("began", attempt_->has_progress)
+                       .Add("silent_ms", Millis(common::BootClock::now() - attempt_->progress_at))
                        .text());
+}
+
+void Exchange::ReleaseSilentAttempt(AttemptResult result) {
+  silent_attempt_->connection->Close();
+  Release(*std::exchange(silent_attempt_, std::nullopt), result);
+}
+
+bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
+  if (facts.not_executed || facts.is_misdirected) return false;
+  if (IsSuccess(head.status)) return facts.has_signature;
+  return !response_started_ && !IsServerError(head.status);
+}
+
+bool Exchange::OnSilentAttemptHead(const http::ResponseHead& head) {
+  const ResponseMetadata facts = owner_.options_.codec.read_response(head);
+  if (!BelongsToRequest(facts, *silent_attempt_)) {
+    LogForeignResponse(facts, *silent_attempt_);
+    return false;
+  }
+  if (!IsDeliverable(head, facts)) {
+    if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
+    ReleaseSilentAttempt(facts.not_executed ? AttemptResult::kFull : AttemptResult::kSuccess);
+    return true;
+  }
+  may_have_run_on_.insert(attempt_->backend_server);
   attempt_->connection->Close();
-  ReleaseAttempt(AttemptResult::kFailure);
-  QueueRetry(now);
+  ReturnToSilentAttempt(AttemptResult::kInconclusive);
+  return OnHead(head);
+}
+
+void Exchange::OnSilentAttemptData(std::string_view data) {
+  const std::uint64_t attempt = silent_attempt_->number;
+  for (const StreamEvent& event : silent_attempt_->events.Feed(data)) {
+    if (IsSilentAttempt(attempt)) {
+      if (!IsProgress(event)) continue;
+      may_have_run_on_.insert(attempt_->backend_server);
+      attempt_->connection->Close();
+      ReturnToSilentAttempt(AttemptResult::kInconclusive);
+    }
+    OnEvent(event);
+    if (!IsCurrent(attempt)) return;
+  }
+  if (IsSilentAttempt(attempt) &&
+      silent_attempt_->events.incomplete_event().size() > kMaxEventBytes) {
+    OnSilentAttemptEnd(http::CallEnd::kInvalid);
+  }
+}
+
+void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
+  may_have_run_on_.insert(silent_attempt_->backend_server);
+  if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
+      silent_attempt_->events.incomplete_event().empty()) {
+    may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReturnToSilentAttempt(AttemptResult::kInconclusive);
+    OnEnd(end);
+    return;
+  }
+  owner_.metrics_.CountEvent(NameOf(end));
+  LogFailedAttempt(*silent_attempt_, end);
+  ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
 void Exchange::QueueRetry(common::Time now) {
@@ -646,10 +798,13 @@
 }
 
 void Exchange::ReleaseAttempt(AttemptResult result) {
+  Release(*std::exchange(attempt_, std::nullopt), result);
+}
+
+void Exchange::Release(Attempt attempt, AttemptResult result) {
   const common::Time now = common::BootClock::now();
-  ReleasePromptWork();
-  Attempt attempt = std::move(*attempt_);
-  attempt_.reset();
+  ReleasePromptWork(attempt);
+  last_progress_at_ = attempt.progress_at;
   owner_.buffered_body_bytes_ -= std::min(owner_.buffered_body_bytes_, attempt.body.size());
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
@@ -696,10 +851,10 @@
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
     // An unresponsive server must not use up the prompt limit that the other servers share.
     owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
-    ReleasePromptWork();
+    ReleasePromptWork(*attempt_);
   }
   if (now < deadline_ && IsStalled(now)) {
-    RetryStalledAttempt(now);
+    ReplaceSilentAttempt(now);
     return;
   }
   if (now < deadline_ + kDeadlineGracePeriod) return;
@@ -736,7 +891,8 @@
   const common::Time now = common::BootClock::now();
   // "sends" is the number of attempts; "first_ms" is the time from the arrival of the request to
   // the start of the response, or -1 if there was none; "events" counts those passed to the caller;
-  // "silent_ms" is the time since the last progress of the attempt that was open, or -1;
+  // "silent_ms" is the time since the arrival of the request or the last progress of its last
+  // attempt;
   // "list_age_ms" is the age of the list of backend servers.
   LogLine line("request_end");
   line.Add("request", facts_.id)
@@ -752,7 +908,7 @@
       .Add("queued_ms", Millis(queued_for_))
       .Add("first_ms", first_byte_at_ ? Millis(*first_byte_at_ - request_->arrived_at()) : -1)
       .Add("events", delivered_events_)
-      .Add("silent_ms", attempt_ ? Millis(now - attempt_->progress_at) : -1)
+      .Add("silent_ms", Millis(now - (attempt_ ? attempt_->progress_at : last_progress_at_)))
       .Add("total_ms", Millis(now - request_->arrived_at()))
       .Add("config_index", owner_.table_index_.value());
   if (owner_.list_read_at_) line.Add("list_age_ms", Millis(now - *owner_.list_read_at_));
@@ -768,6 +924,7 @@
   const auto self = shared_from_this();
   state_ = State::kEnded;
   LogEnd(outcome, status, reason);
+  if (silent_attempt_) ReleaseSilentAttempt(AttemptResult::kInconclusive);
   if (!service_.empty()) {
     Forwarder::ServiceState& state = owner_.StateOf(service_);
     if (in_scheduler_) {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -13,6 +13,8 @@
 
 /// State of one attempt at a backend server.
 struct Attempt {
+  /// Distinguishes the attempts of one request.
+  std::uint64_t number = 0;
   common::BackendServerId backend_server;
   common::Tier tier;
   common::Time started_at;
@@ -70,27 +72,39 @@
   [[nodiscard]] routing::ClassPolicy Policy() const;
   /// \returns the length of the prompt's parts that other requests share.
   [[nodiscard]] std::uint64_t SharedTokens() const;
+  /// \returns the hash of the longest shared prefix, or 0 if the prompt has no long one.
+  [[nodiscard]] std::uint64_t PrefixHash() const;
   [[nodiscard]] double Work() const;
+  /// Sends the request to a backend server on which the placement has counted it.
+  /// \returns false, without an attempt, if there is no connection to the server.
+  [[nodiscard]] bool StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
+                                  double work, common::Time now);
   void SendAttempt();
   /// \returns false if the response belongs to another request.
-  [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts) const;
+  [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const;
+  /// Logs a response to another request, which is skipped.
+  void LogForeignResponse(const ResponseMetadata& facts, const Attempt& attempt) const;
+  [[nodiscard]] bool IsCurrent(std::uint64_t attempt) const;
+  [[nodiscard]] bool IsSilentAttempt(std::uint64_t attempt) const;
   bool OnHead(const http::ResponseHead& head);
   void OnData(std::string_view data);
   void OnEvent(const StreamEvent& event);
   void OnEnd(http::CallEnd end);
   void OnCompleteResponse();
   void OnFailedAttempt(http::CallEnd end);
+  void LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const;
   void OnRejectedAttempt();
   void OnCallerDisconnected();
   /// Records the start of the response, or the gap before a further event of a stream.
   void RecordProgress();
-  void ReleasePromptWork();
+  void ReleasePromptWork(Attempt& attempt);
 
   /// What the end of an attempt shows about its backend server. An attempt that the entry ends
   /// because the caller has disconnected is inconclusive.
   enum class AttemptResult : std::uint8_t { kSuccess, kFailure, kFull, kInconclusive };
   /// Ends the current attempt, reports it to the placement and returns its connection to the pool.
   void ReleaseAttempt(AttemptResult result);
+  void Release(Attempt attempt, AttemptResult result);
   /// Queues the request for a retry if that is allowed.
   /// \param may_have_run  whether the backend server of the last attempt may have run the request
   [[nodiscard]] bool TryRetry(bool may_have_run);
@@ -103,7 +117,25 @@
   /// route's target: of that for the first event, or, after the first event of a stream, of that
   /// for the gap between events.
   [[nodiscard]] bool IsStalled(common::Time now) const;
-  void RetryStalledAttempt(common::Time now);
+
+  // A silent backend server may be sound and go on, so its attempt is given up only once another
+  // server has begun to respond. Until then the request has two attempts: `attempt_`, which is to
+  // replace `silent_attempt_`. Whichever makes progress first goes on, and the other one ends.
+
+  /// Sends the request to another backend server if one has room and a retry is allowed.
+  void ReplaceSilentAttempt(common::Time now);
+  /// Ends the current attempt and goes on with the silent one.
+  void ReturnToSilentAttempt(AttemptResult result);
+  /// Ends the silent attempt.
+  void ReleaseSilentAttempt(AttemptResult result);
+  bool OnSilentAttemptHead(const http::ResponseHead& head);
+  void OnSilentAttemptData(std::string_view data);
+  void OnSilentAttemptEnd(http::CallEnd end);
+  /// True if the event is new to the caller and shows that its stream goes on.
+  [[nodiscard]] bool IsProgress(const StreamEvent& event) const;
+  /// True if the response may be passed on to the caller, whose response may have started.
+  [[nodiscard]] bool IsDeliverable(const http::ResponseHead& head,
+                                   const ResponseMetadata& facts) const;
 
   void Deliver();
   /// Responds with a status that the entry chose, without a response of a backend server.
@@ -130,7 +162,10 @@
   common::Time hold_until_;
   State state_ = State::kQueued;
   std::optional<Attempt> attempt_;
+  std::optional<Attempt> silent_attempt_;
   std::uint64_t attempt_number_ = 0;
+  /// Time of the next search for a backend server that replaces a silent one.
+  common::Time next_replacement_at_;
   /// Backend servers to which the request was sent.
   std::set<common::BackendServerId> sent_to_;
   /// Backend servers that may have run the request.
@@ -146,6 +181,7 @@
   bool usage_counted_ = false;
   std::optional<std::uint64_t> last_event_;
   std::optional<common::Time> first_byte_at_;
+  common::Time last_progress_at_;
   common::Duration queued_for_{};
   std::optional<common::Time> queued_at_;
 };
