Give an interrupted stream the time that is left, not the time of a new request, to wait for its retry

Cause: a request may wait for a server until a third of its time from arrival; the queue applied that limit to retries too, when it had passed already. Ruled out: retry budget and breakers, whose refusals end with another reason. The queue now takes a new limit with a retry: the deadline once the response has started, else a third of what is left.

--- a/include/briarwood/routing/scheduler.h
+++ b/include/briarwood/routing/scheduler.h
@@ -149,8 +149,10 @@
   /// Returns a preempted or interrupted request to the head of its queue.
   /// \param resume_from  number of output tokens that the caller has already received
   /// \param avoid        server on which the attempt failed; empty to allow all
+  /// \param deadline     extends QueuedRequest::deadline, which may limit the time until the first
+  ///                     attempt only
   void Requeue(const common::RequestId& id, std::uint64_t resume_from,
-               const common::BackendServerId& avoid = {});
+               const common::BackendServerId& avoid = {}, common::Time deadline = {});
 
   [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
   [[nodiscard]] std::size_t queued(const common::ClassId& class_id) const;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -22,7 +22,8 @@
 /// much longer for that response.
 constexpr milliseconds kDeadlineGracePeriod{150};
 /// A request may be queued until the route's target for the first event or, if that is longer, for
-/// this share of the time from its arrival to its deadline.
+/// this share of the time from its arrival to its deadline; before a retry, for this share of the
+/// time that is left.
 constexpr double kMaxQueueShare = 0.35;
 /// Attempts of one request, including those that were rejected without being run.
 constexpr std::uint32_t kMaxAttempts = 4;
@@ -785,13 +786,19 @@
   ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
+common::Time Exchange::RetryQueueDeadline(common::Time now) const {
+  // Giving up a response that has started loses it.
+  if (response_started_) return deadline_ - kMinTimeLeft;
+  return now + common::FromSeconds(common::ToSeconds(deadline_ - now) * kMaxQueueShare);
+}
+
 void Exchange::QueueRetry(common::Time now) {
   last_attempt_rejected_ = false;
   state_ = State::kQueued;
   queued_at_ = now;
   Forwarder::ServiceState& state = owner_.StateOf(service_);
   const std::uint64_t resume_from = last_event_.value_or(0);
-  state.scheduler.Requeue(id(), resume_from, last_backend_);
+  state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
   boost::asio::post(owner_.loop_, [weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->owner_.DispatchQueued(exchange->service_);
   });
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -110,6 +110,8 @@
   [[nodiscard]] bool TryRetry(bool may_have_run);
   [[nodiscard]] bool MayRetry(bool may_have_run, common::Time now) const;
   void QueueRetry(common::Time now);
+  /// \returns the time until which the request may wait for a retry.
+  [[nodiscard]] common::Time RetryQueueDeadline(common::Time now) const;
   /// Buffers a piece of a response that is delivered whole, or fails the attempt if the response,
   /// or all responses that the entry buffers, are too long.
   void BufferBody(std::string_view data);
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -436,7 +436,7 @@
 }
 
 void Scheduler::Requeue(const common::RequestId& id, std::uint64_t resume_from,
-                        const common::BackendServerId& avoid) {
+                        const common::BackendServerId& avoid, common::Time deadline) {
   auto running = TakeRunning(id);
   if (!running) return;
   ClassState& state = classes_[running->class_index];
@@ -447,6 +447,7 @@
       std::max(1.0, request.expected_output_tokens - static_cast<double>(running->charged));
   request.resume_from = resume_from;
   request.avoid = avoid;
+  request.deadline = std::max(request.deadline, deadline);
   ++request.interruptions;
   Push(state, running->customer_index, std::move(request), /*front=*/true);
 }
--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -170,6 +170,24 @@
   EXPECT_DOUBLE_EQ(scheduler.VirtualTokens(first->request.class_id, first->request.customer), paid);
 }
 
+// Guards against an interrupted stream that is dropped at once, because the limit of its time in
+// the queue counts from its arrival and has passed while it ran.
+TEST(SchedulerTest, RequeuedRequestWaitsUntilItsNewDeadline) {
+  Scheduler scheduler = Make({Policy("class", 1)});
+  QueuedRequest request = Request(1, "class", "a");
+  request.deadline = kStart + seconds(2);
+  (void)scheduler.Enqueue(request, kStart);
+  ASSERT_TRUE(scheduler.PickNext(kStart));
+  scheduler.Charge(request.id, 7, kStart);
+  scheduler.Requeue(request.id, 7, {}, kStart + seconds(10));
+  scheduler.DropLate(kStart + seconds(9));
+  EXPECT_TRUE(scheduler.TakeDropped().empty());
+  ASSERT_TRUE(scheduler.PickNext(kStart + seconds(9)));
+  scheduler.Requeue(request.id, 8);
+  scheduler.DropLate(kStart + seconds(11));
+  ASSERT_EQ(scheduler.TakeDropped().size(), 1U);
+}
+
 // Guards against rejecting requests of a class that was added by a later configuration, and against
 // a class table that grows with every change.
 TEST(SchedulerTest, AddsClassesAtRunTimeUpToALimit) {
