Go on looking for a server for an answer that has begun while the servers refuse connections

Cause: attempts that never reached a server count towards the limit of four, which bounds the load on servers. Ruled out: the retry budget, which such attempts don't use. Once the response has started, they no longer count, and after four attempts they are 50 ms apart until the deadline. A request whose response has not started is rejected after four as before, since its caller can go to another entry. Measured: ResumesAStreamWhenAServerIsUpAgain failed before and passes, with the other tests of retries.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -27,6 +27,10 @@
 constexpr double kMaxQueueShare = 0.35;
 /// Attempts of one request, including those that were rejected without being run.
 constexpr std::uint32_t kMaxAttempts = 4;
+/// Interval between attempts after kMaxAttempts if the servers cannot be reached, for a request
+/// that must not be given up. Crashed servers refuse connections and stay on the list for some
+/// seconds.
+constexpr milliseconds kUnreachableRetryInterval{50};
 /// Time that must be left before the deadline for a retry.
 constexpr milliseconds kMinTimeLeft{20};
 /// Reading from the backend server pauses while more than this is buffered for the caller.
@@ -588,6 +592,7 @@
 void Exchange::OnFailedAttempt(http::CallEnd end) {
   const bool sent = end != http::CallEnd::kNotSent;
   if (sent) may_have_run_on_.insert(attempt_->backend_server);
+  if (!sent) ++unsent_attempts_;
   owner_.metrics_.CountEvent(NameOf(end));
   LogFailedAttempt(*attempt_, end);
   attempt_->connection->Close();
@@ -652,12 +657,21 @@
     owner_.metrics_.CountEvent("repeat_budget_spent");
     return false;
   }
-  QueueRetry(now);
+  if (sent_attempts_ < kMaxAttempts) {
+    QueueRetry(now);
+    return true;
+  }
+  state_ = State::kWaiting;
+  retry_at_ = now + kUnreachableRetryInterval;
   return true;
 }
 
 bool Exchange::MayRetry(bool may_have_run, common::Time now) const {
-  if (state_ == State::kEnded || disconnected_ || sent_attempts_ >= kMaxAttempts) return false;
+  if (state_ == State::kEnded || disconnected_) return false;
+  // A response that has started is lost without a further attempt; other callers may go to another
+  // entry at once.
+  const std::uint32_t counted = sent_attempts_ - (response_started_ ? unsent_attempts_ : 0);
+  if (counted >= kMaxAttempts) return false;
   if (deadline_ - now < kMinTimeLeft) return false;
   if (may_have_run && !retryable()) return false;
   return may_have_run_on_.size() < std::max(route_->max_attempts(), 1U);
@@ -853,6 +867,14 @@
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
+  if (state_ == State::kWaiting) {
+    if (deadline_ - now < kMinTimeLeft) {
+      Fail(kGatewayTimeout, "no_backend_in_time");
+    } else if (now >= retry_at_) {
+      QueueRetry(now);
+    }
+    return;
+  }
   if (state_ != State::kRunning || !attempt_) return;
   if (request_->buffered_bytes() <= kMaxBufferedBytes) attempt_->connection->PauseReading(false);
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -61,7 +61,15 @@
   void LogCutByStop() const;
 
  private:
-  enum class State : std::uint8_t { kHeld, kQueued, kRunning, kEnded };
+  enum class State : std::uint8_t {
+    /// Until the first configuration with forwarding is active.
+    kHeld,
+    kQueued,
+    kRunning,
+    /// Until the next attempt may be queued.
+    kWaiting,
+    kEnded,
+  };
 
   /// Holds the request until the first configuration with forwarding is active. Rejects it if the
   /// caller's time limit leaves no time for that or if too many requests are held.
@@ -174,6 +182,9 @@
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
   std::uint32_t sent_attempts_ = 0;
+  /// Attempts in `sent_attempts_` whose server could not be reached.
+  std::uint32_t unsent_attempts_ = 0;
+  common::Time retry_at_;
   std::uint64_t delivered_events_ = 0;
   bool in_scheduler_ = false;
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
