Take no request at a stopping entry that outlasts it, and answer what is open at its end

Callers lost streams on sound servers at planned stops: an entry took streams until 2.6 s after SIGTERM, and closed those that were not done after 96% of the grace period, in the middle of their answer or without any. Change: an entry estimates from recent responses of the class how long a response lasts for its output. From SIGTERM on it rejects, not run and with Retry-After 10 ms, what would probably not end in time, also in its queue; a class without a recent response counts with its time limit. What is open at the end gets 503 if it has not run and 502 otherwise; only a response that has begun is cut. Usage is handed in beside the last streams, not after them. A stream taken before SIGTERM that lasts longer than the grace period is still cut: its connection ends at this VM.

--- a/include/briarwood/forwarding/forwarding_node.h
+++ b/include/briarwood/forwarding/forwarding_node.h
@@ -51,7 +51,10 @@
   void SetSeeds(const std::vector<std::string>& control_rpc);
 
   /// Planned stop: reports not ready, asks callers to close their connections, waits 2.6 s, in
-  /// which load balancers remove the entry from rotation, and finishes the requests in flight.
+  /// which load balancers remove the entry from rotation, and finishes the requests in flight. From
+  /// the start, requests whose responses will probably not end within `limit` are rejected before
+  /// a backend server receives them. Requests that are open after `limit` are ended: with 503 if
+  /// they have not run, else with 502, or by closing the connection if the response has started.
   ///
   /// \param limit  has to be longer than that wait
   /// \returns false if `limit` elapsed first.
--- a/include/briarwood/routing/routing.h
+++ b/include/briarwood/routing/routing.h
@@ -10,6 +10,7 @@
 #include "briarwood/routing/placement.h"
 #include "briarwood/routing/prefix_cache_view.h"
 #include "briarwood/routing/request.h"
+#include "briarwood/routing/response_time_estimator.h"
 #include "briarwood/routing/retry_budget.h"
 #include "briarwood/routing/running_set.h"
 #include "briarwood/routing/scheduler.h"
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -178,11 +178,45 @@
   milliseconds time_left(route_->timeout_ms());
   if (facts_.time_left) time_left = std::min(time_left, *facts_.time_left);
   deadline_ = request_->arrived_at() + time_left;
+  class_id_ = Policy().id;
+  if (!EndsBeforeStop(common::BootClock::now())) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+    return false;
+  }
   service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
   return true;
 }
 
+std::uint64_t Exchange::ExpectedOutput() const {
+  return facts_.max_output_tokens > 0 ? facts_.max_output_tokens
+                                      : facts_.expected_output_tokens.value_or(0);
+}
+
+bool Exchange::EndsBeforeStop(common::Time now) const {
+  if (!owner_.stop_end_ || deadline_ + kDeadlineGracePeriod <= *owner_.stop_end_) return true;
+  const auto estimate = owner_.response_times_.Estimate(class_id_, ExpectedOutput());
+  return estimate && now + *estimate <= *owner_.stop_end_;
+}
+
+bool Exchange::HasNotRun() const {
+  return !response_started_ && !silent_attempt_ && may_have_run_on_.empty();
+}
+
+void Exchange::OnStop() {
+  if (state_ == State::kEnded) return;
+  if (attempt_) {
+    if (attempt_->connection->sent_at()) may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReleaseAttempt(AttemptResult::kInconclusive);
+  }
+  if (HasNotRun()) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+  } else {
+    Fail(kBadGateway, "stopping");
+  }
+}
+
 void Exchange::Hold() {
   const auto wait =
       facts_.time_left ? std::chrono::duration_cast<milliseconds>(*facts_.time_left * kMaxHoldShare)
@@ -542,6 +576,7 @@
     }
     request_->EndStream();
     ReleaseAttempt(AttemptResult::kSuccess);
+    ObserveResponseTime();
     End("answered", status, "");
     return;
   }
@@ -575,9 +610,17 @@
   // An error status in the backend server's own response comes from the application and does not
   // show that the backend server is faulty.
   ReleaseAttempt(AttemptResult::kSuccess);
+  if (IsSuccess(status)) ObserveResponseTime();
   End("answered", status, "");
 }
 
+void Exchange::ObserveResponseTime() {
+  const common::Time arrived = request_->arrived_at();
+  const common::Time now = common::BootClock::now();
+  owner_.response_times_.Observe(class_id_, ExpectedOutput(),
+                                 first_byte_at_.value_or(now) - arrived, now - arrived);
+}
+
 void Exchange::LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const {
   owner_.log_.Warn(LogLine("attempt_failed")
                        .Add("request", facts_.id)
@@ -867,6 +910,11 @@
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
+  if ((state_ == State::kQueued || state_ == State::kWaiting) && HasNotRun() &&
+      !EndsBeforeStop(now)) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+    return;
+  }
   if (state_ == State::kWaiting) {
     if (deadline_ - now < kMinTimeLeft) {
       Fail(kGatewayTimeout, "no_backend_in_time");
@@ -944,10 +992,6 @@
   owner_.log_.Info(line.text());
 }
 
-void Exchange::LogCutByStop() const {
-  LogEnd(response_started_ ? "cut" : "unanswered", 0, "stopped");
-}
-
 void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
   if (state_ == State::kEnded) return;
   const auto self = shared_from_this();
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -217,15 +217,19 @@
                 .text());
 }
 
-void Forwarder::LogOpenRequests() const {
-  for (const auto& [number, exchange] : exchanges_) exchange->LogCutByStop();
-}
-
-void Forwarder::Tick(common::Time now) {
+std::vector<std::shared_ptr<Exchange>> Forwarder::OpenExchanges() const {
   std::vector<std::shared_ptr<Exchange>> exchanges;
   exchanges.reserve(exchanges_.size());
   for (const auto& [number, exchange] : exchanges_) exchanges.push_back(exchange);
-  for (const auto& exchange : exchanges) exchange->CheckTimeouts(now);
+  return exchanges;
+}
+
+void Forwarder::EndAll() {
+  for (const auto& exchange : OpenExchanges()) exchange->OnStop();
+}
+
+void Forwarder::Tick(common::Time now) {
+  for (const auto& exchange : OpenExchanges()) exchange->CheckTimeouts(now);
   for (auto& [service, state] : services_) {
     LogPromptLimit(service, state);
     if (state.scheduler.queued() == 0) continue;
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -41,6 +41,9 @@
 constexpr milliseconds kLeaveRotationDelay{2600};
 constexpr milliseconds kDrainPollInterval{20};
 constexpr milliseconds kUsageFlushTimeout{800};
+/// Time for the kernel to take the responses to the requests that a stop ends.
+constexpr milliseconds kResponseFlushTimeout{60};
+constexpr milliseconds kResponsePollInterval{2};
 /// The entry counts as connected to the control members if the leader has confirmed the state of
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
@@ -161,8 +164,12 @@
     draining_ = true;
     ready_ = false;
     log_.Info(LogLine("stopping").Add("in_flight", InFlight()).text());
-    boost::asio::post(loop_, [this] { server_->DisableKeepAlive(); });
+    boost::asio::post(loop_, [this, end] {
+      server_->DisableKeepAlive();
+      forwarder_.BeginStop(end);
+    });
     bool idle = false;
+    bool flushed = false;
     while (common::BootClock::now() < end) {
       std::this_thread::sleep_for(kDrainPollInterval);
       if (common::BootClock::now() - started < kLeaveRotationDelay) continue;
@@ -172,15 +179,20 @@
         idle = true;
         break;
       }
+      // Streams may use the time until `end`, so what has been counted is handed in beside them.
+      if (!flushed && end - common::BootClock::now() < kUsageFlushTimeout) {
+        flushed = true;
+        FlushUsage(end);
+      }
     }
-    FlushUsage();
-    const auto left = std::chrono::duration_cast<milliseconds>(end - common::BootClock::now());
-    if (!reporter_.Flush(std::clamp(left, kDrainPollInterval, kUsageFlushTimeout))) {
-      log_.Warn(LogLine("usage_not_flushed").Add("records", reporter_.held()).text());
+    const std::size_t cut = idle ? 0 : EndAll();
+    FlushUsage(std::max(end, common::BootClock::now() + kDrainPollInterval));
+    if (const std::size_t held = reporter_.held(); held > 0) {
+      log_.Warn(LogLine("usage_not_flushed").Add("records", held).text());
     }
-    LogOpenRequests();
-    // "idle" is false if `limit` elapsed before all requests and connections had ended.
-    log_.Info(LogLine("drained").Add("idle", idle).Add("in_flight", InFlight()).text());
+    // "idle" is false if `limit` elapsed before all requests and connections had ended; "in_flight"
+    // counts the requests that were ended then.
+    log_.Info(LogLine("drained").Add("idle", idle).Add("in_flight", cut).text());
     return idle;
   }
 
@@ -280,20 +292,37 @@
     return open.get_future().get();
   }
 
-  /// Moves the counts of the loop's thread to the usage reporter, and waits until that is done.
-  void FlushUsage() {
-    std::promise<void> done;
-    boost::asio::post(loop_, [&] {
-      TransferUsage();
-      done.set_value();
+  /// Moves the counts of the loop's thread to the usage reporter, and waits until they are
+  /// committed or `end` has passed.
+  void FlushUsage(common::Time end) {
+    CallOnLoop([this] { TransferUsage(); });
+    const auto left = std::chrono::duration_cast<milliseconds>(end - common::BootClock::now());
+    static_cast<void>(reporter_.Flush(std::clamp(left, kDrainPollInterval, kUsageFlushTimeout)));
+  }
+
+  /// Ends the open requests and waits until their callers have been sent the responses.
+  /// \returns their number.
+  std::size_t EndAll() {
+    std::size_t open = 0;
+    CallOnLoop([&] {
+      open = forwarder_.in_flight();
+      forwarder_.EndAll();
     });
-    done.get_future().wait();
+    const common::Time end = common::BootClock::now() + kResponseFlushTimeout;
+    std::size_t unsent = 1;
+    while (unsent > 0 && common::BootClock::now() < end) {
+      CallOnLoop([&] { unsent = server_->in_flight(); });
+      if (unsent > 0) std::this_thread::sleep_for(kResponsePollInterval);
+    }
+    return open;
   }
 
-  void LogOpenRequests() {
+  /// Runs `task` on the thread of the loop and waits for its end.
+  template <typename Task>
+  void CallOnLoop(Task task) {
     std::promise<void> done;
     boost::asio::post(loop_, [&] {
-      forwarder_.LogOpenRequests();
+      task();
       done.set_value();
     });
     done.get_future().wait();
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -57,8 +57,9 @@
   void OnConfiguration();
   /// Ends a hold, a stalled attempt or the request itself when its time has run out.
   void CheckTimeouts(common::Time now);
-  /// Logs that the request was open when the process stopped.
-  void LogCutByStop() const;
+  /// Ends the request because the process stops. The caller gets a response unless its response has
+  /// started.
+  void OnStop();
 
  private:
   enum class State : std::uint8_t {
@@ -78,6 +79,13 @@
   bool Admit();
   void Queue();
   [[nodiscard]] routing::ClassPolicy Policy() const;
+  /// \returns the maximum number of output tokens, or else the caller's estimate; 0 if unknown.
+  [[nodiscard]] std::uint64_t ExpectedOutput() const;
+  /// True unless the process stops and the response would probably be cut.
+  [[nodiscard]] bool EndsBeforeStop(common::Time now) const;
+  /// True if no backend server can have run the request.
+  [[nodiscard]] bool HasNotRun() const;
+  void ObserveResponseTime();
   /// \returns the length of the prompt's parts that other requests share.
   [[nodiscard]] std::uint64_t SharedTokens() const;
   /// \returns the hash of the longest shared prefix, or 0 if the prompt has no long one.
@@ -168,6 +176,7 @@
   std::string service_;
   common::CustomerId customer_;
   common::Tier tier_;
+  common::ClassId class_id_;
   common::Time deadline_;
   common::Time hold_until_;
   State state_ = State::kQueued;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -20,6 +20,7 @@
 #include "briarwood/routing/forward_table.h"
 #include "briarwood/routing/placement.h"
 #include "briarwood/routing/prompt_limiter.h"
+#include "briarwood/routing/response_time_estimator.h"
 #include "briarwood/routing/scheduler.h"
 #include "briarwood/routing/service_retry_budget.h"
 #include "fleet.pb.h"
@@ -62,8 +63,11 @@
   /// Ends requests that have run out of time and dispatches queued ones; call it about every 10 ms.
   void Tick(common::Time now);
 
-  /// Logs the requests that are open when the process stops.
-  void LogOpenRequests() const;
+  /// From now on, takes only requests that will probably end before `end`, and rejects those in the
+  /// queue that will not.
+  void BeginStop(common::Time end) noexcept { stop_end_ = end; }
+  /// Ends the requests that are still open when the process stops.
+  void EndAll();
 
   [[nodiscard]] std::size_t in_flight() const noexcept { return exchanges_.size(); }
   [[nodiscard]] bool has_configuration() const noexcept { return table_ && table_->known(); }
@@ -84,6 +88,8 @@
     std::map<common::RequestId, Exchange*> exchanges;
   };
 
+  /// \returns the open requests, which may end while the caller iterates over them.
+  [[nodiscard]] std::vector<std::shared_ptr<Exchange>> OpenExchanges() const;
   ServiceState& StateOf(const std::string& service);
   /// Queues a request; the exchange is called back when it is placed or dropped.
   void Enqueue(const std::string& service, const routing::ClassPolicy& policy,
@@ -115,6 +121,9 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_exchange_ = 1;
   bool rejecting_new_ = false;
+  /// Time at which a planned stop ends the open requests.
+  std::optional<common::Time> stop_end_;
+  routing::ResponseTimeEstimator response_times_;
   /// Bytes of responses that are buffered until they are complete.
   std::size_t buffered_body_bytes_ = 0;
   /// Numbers of the requests that are held until the first configuration is active.
--- a/tests/forwarding/planned_stop_test.cc
+++ b/tests/forwarding/planned_stop_test.cc
@@ -47,7 +47,18 @@
   FakeBackend backend(&SendLongStream);
   List("m-1", backend.address());
   StartReadyEntry();
-  for (int i = 0; i < 3; ++i) ASSERT_EQ(Body(Ask("/ask/" + std::to_string(i))), LongStream());
+  // A single response says little about how long others last.
+  for (int round = 0; round < 3; ++round) {
+    std::vector<std::thread> callers;
+    constexpr int kCallers = 3;
+    callers.reserve(kCallers);
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&, path = "/ask/" + std::to_string(round) + std::to_string(i)] {
+        EXPECT_EQ(Body(Ask(path)), LongStream());
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+  }
   std::thread stop([this] { static_cast<void>(node_->Drain(milliseconds(3000))); });
   ASSERT_TRUE(Eventually([this] { return !node_->Ready(); }));
   const std::string in_time = Ask("/ask/in-time");
