Keep an idle connection on which a request has arrived when another needs its place

What callers saw: a server at its limit of connections closed a kept connection although the request on it had arrived, and the request ended without an answer.

Cause: a further connection replaced the one that had been idle for the longest time, and unread bytes on it were not looked at.

Ruled out: the stop path, which looks at them already.

Change: the longest idle connection without input is replaced; if there is none, the new connection is closed, of which nothing has been read.

--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -55,8 +55,8 @@
   std::string listen;
   /// Called for each request, so that changes apply to open connections.
   std::function<IncomingLimits()> limits = [] { return IncomingLimits{}; };
-  /// A further connection replaces the one that has been idle for the longest time; if none is
-  /// idle, it is closed unread.
+  /// A further connection replaces the one that has been idle for the longest time; if requests are
+  /// in progress or have arrived on all, it is closed unread.
   std::size_t max_connections = 2000;
 };
 
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -84,6 +85,9 @@
   friend class IncomingConnection;
 
   void AddConnection(Socket socket);
+  /// Closes the connection that has been idle for the longest time, except those on which a request
+  /// has arrived. \returns false if there is none.
+  bool CloseLongestIdle();
 
   EventLoop& loop_;
   asio::ip::tcp::acceptor acceptor_;
@@ -565,12 +569,19 @@
 void IncomingServer::Impl::AddConnection(Socket socket) {
   if (busy_.size() + idle_.size() >= options_.max_connections) {
     // A peer whose connection closes before its request is read may retry it elsewhere.
-    if (idle_.empty()) return;
-    idle_.front()->Close();
+    if (!CloseLongestIdle()) return;
   }
   std::make_shared<IncomingConnection>(shared_from_this(), std::move(socket))->Start();
 }
 
+bool IncomingServer::Impl::CloseLongestIdle() {
+  const auto longest = std::find_if(idle_.begin(), idle_.end(),
+                                    [](const auto& connection) { return !connection->HasInput(); });
+  if (longest == idle_.end()) return false;
+  (*longest)->Close();
+  return true;
+}
+
 void IncomingServer::Impl::StopAccepting() {
   if (!acceptor_.is_open()) return;
   ErrorCode error;
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -89,5 +89,68 @@
   EXPECT_EQ(handled_, 0);
 }
 
+/// Server with its own limits, whose event loop runs only when the test lets it run.
+class IncomingIdleTest : public testing::Test {
+ protected:
+  void StartServer(IncomingOptions options) {
+    options.listen = "127.0.0.1:0";
+    auto server = IncomingServer::Start(
+        loop_, std::move(options), [this](const std::shared_ptr<IncomingRequest>& request) {
+          ++handled_;
+          request->Respond({.status = 200, .reason = {}, .headers = {}}, "served");
+        });
+    ASSERT_TRUE(server.ok()) << server.error();
+    server_ = std::move(server).value();
+  }
+
+  /// Opens a connection without a request and waits until the server has accepted it.
+  std::unique_ptr<RawCall> OpenIdle() {
+    const std::size_t before = server_->connections();
+    auto call = std::make_unique<RawCall>(server_->port(), "");
+    while (server_->connections() == before) loop_.run_one_for(milliseconds(50));
+    return call;
+  }
+
+  void RunFor(milliseconds time) {
+    loop_.restart();
+    loop_.run_for(time);
+  }
+
+  EventLoop loop_{1};
+  int handled_ = 0;
+  std::unique_ptr<IncomingServer> server_;
+};
+
+// Guards against a new connection that takes the place of an idle one on which a request has
+// arrived, so that the request ends without an answer.
+TEST_F(IncomingIdleTest, ReplacesNoConnectionOnWhichARequestHasArrived) {
+  StartServer({.max_connections = 2});
+  const auto with_request = OpenIdle();
+  const auto without_request = OpenIdle();
+  RawCall further(server_->port(), kRequest);
+  with_request->Send(kRequest);
+  RunFor(milliseconds(100));
+  EXPECT_EQ(handled_, 2);
+  EXPECT_THAT(with_request->Finish(), StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(further.Finish(), StartsWith("HTTP/1.1 200"));
+  EXPECT_EQ(without_request->Finish(), "");
+}
+
+// Guards against a server at its limit of connections that closes one whose request has arrived,
+// although it could close the new one, of which it has read nothing.
+TEST_F(IncomingIdleTest, ClosesANewConnectionIfRequestsHaveArrivedOnAllOthers) {
+  StartServer({.max_connections = 2});
+  const auto first = OpenIdle();
+  const auto second = OpenIdle();
+  RawCall further(server_->port(), "");
+  first->Send(kRequest);
+  second->Send(kRequest);
+  RunFor(milliseconds(100));
+  EXPECT_EQ(handled_, 2);
+  EXPECT_THAT(first->Finish(), StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(second->Finish(), StartsWith("HTTP/1.1 200"));
+  EXPECT_EQ(further.Finish(), "");
+}
+
 }  // namespace
 }  // namespace briarwood::http
--- a/tests/support/raw_call.h
+++ b/tests/support/raw_call.h
@@ -28,10 +28,7 @@
     if (::connect(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
       throw std::runtime_error("cannot connect");
     }
-    if (::send(socket_, request.data(), request.size(), 0) !=
-        static_cast<ssize_t>(request.size())) {
-      throw std::runtime_error("cannot send");
-    }
+    Send(request);
     reader_ = std::thread([this] { Read(); });
   }
 
@@ -44,6 +41,13 @@
   RawCall(const RawCall&) = delete;
   RawCall& operator=(const RawCall&) = delete;
 
+  /// Sends further bytes.
+  void Send(const std::string& bytes) {
+    if (::send(socket_, bytes.data(), bytes.size(), 0) != static_cast<ssize_t>(bytes.size())) {
+      throw std::runtime_error("cannot send");
+    }
+  }
+
   /// Waits until the response contains `text`. \returns false after a timeout or the end of the
   /// response.
   [[nodiscard]] bool WaitFor(const std::string& text) {
