Answer a request that arrives on a kept connection at its idle timeout

What callers saw: a kept connection was closed without an answer to the request that had just arrived on it.

Cause: the idle timer closed the connection without looking for input. If the request arrives after the event loop has polled its sockets, and the timer is due in the same turn, the timer runs first.

Ruled out: a request that is read in the same poll, whose read handler runs before the timer.

Change: the timer closes a connection only if nothing has arrived on it; its pending wait reads the request.

Result: AnswersARequestThatArrivesAtTheIdleTimeout failed on the unchanged code (no request handled) and passes, also in 30 repeats; ClosesAnIdleConnectionAtItsTimeout passed before and after.

--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -293,7 +293,10 @@
   }
   if (buffer_.capacity() > kMaxIdleBufferBytes) buffer_ = {};
   SetIdle(true);
-  SetTimer(server_->limits().idle_timeout, [this] { Close(); });
+  SetTimer(server_->limits().idle_timeout, [this] {
+    // A request that has already arrived is read and answered by the pending wait.
+    if (!HasInput()) Close();
+  });
   AwaitReadable();
 }
 
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -116,6 +116,10 @@
     loop_.run_for(time);
   }
 
+  static IncomingOptions WithIdleTimeout(milliseconds timeout) {
+    return {.limits = [timeout] { return IncomingLimits{.idle_timeout = timeout}; }};
+  }
+
   EventLoop loop_{1};
   int handled_ = 0;
   std::unique_ptr<IncomingServer> server_;
@@ -152,5 +156,28 @@
   EXPECT_EQ(further.Finish(), "");
 }
 
+// Guards against an idle timeout that closes a connection on which a request has arrived since the
+// event loop last looked, so that the request ends without an answer.
+TEST_F(IncomingIdleTest, AnswersARequestThatArrivesAtTheIdleTimeout) {
+  StartServer(WithIdleTimeout(milliseconds(60)));
+  const auto idle = OpenIdle();
+  // Expires in the same turn of the loop as the idle timeout, and before it.
+  Timer sender(loop_, milliseconds(1));
+  sender.async_wait([&](const boost::system::error_code&) { idle->Send(kRequest); });
+  std::this_thread::sleep_for(milliseconds(100));
+  RunFor(milliseconds(100));
+  EXPECT_EQ(handled_, 1);
+  EXPECT_THAT(idle->Finish(), StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against idle connections that stay open after their timeout.
+TEST_F(IncomingIdleTest, ClosesAnIdleConnectionAtItsTimeout) {
+  StartServer(WithIdleTimeout(milliseconds(30)));
+  const auto idle = OpenIdle();
+  RunFor(milliseconds(150));
+  EXPECT_EQ(server_->connections(), 0U);
+  EXPECT_EQ(idle->Finish(), "");
+}
+
 }  // namespace
 }  // namespace briarwood::http
