Report why an incoming connection closed during a response

What callers saw: nothing new; a log line could not tell a caller that left from an answer that the server cut off at the end of a planned stop.

Cause: OnDisconnected passed no reason.

Ruled out: a separate callback for closing the server, which every user of the first would need as well.

Change: OnDisconnected passes a DisconnectCause: closed by the peer, peer unreachable, closed by the server. Its two users ignore it so far.

--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,16 @@
   std::chrono::milliseconds idle_timeout{15'000};
 };
 
+/// Why a connection closed before the response to its request had ended.
+enum class DisconnectCause : std::uint8_t {
+  /// The peer closed or reset the connection.
+  kPeerClosed,
+  /// The peer acknowledged no data in time, or the network reported that it is unreachable.
+  kPeerUnreachable,
+  /// This server closed the connection, because it was destroyed with the request in progress.
+  kServerClosed,
+};
+
 /// Request that an IncomingServer received and that awaits its response. To be used only on the
 /// thread of the event loop; no call blocks.
 ///
@@ -46,8 +57,9 @@
   virtual void Abort() = 0;
   /// Bytes written but not yet passed to the kernel.
   [[nodiscard]] virtual std::size_t buffered_bytes() const noexcept = 0;
-  /// Calls `callback` once if the connection closes, other than by Abort, before the response ends.
-  virtual void OnDisconnected(std::function<void()> callback) = 0;
+  /// Calls `callback` once, from the event loop, if the connection closes, other than by Abort,
+  /// before the response ends.
+  virtual void OnDisconnected(std::function<void(DisconnectCause cause)> callback) = 0;
 };
 
 struct IncomingOptions {
--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -46,7 +46,7 @@
          .body = *request_->body(),
          .customer = HeaderOrEmpty(head, platform::kTenant),
          .carries_key = head.headers.Find(platform::kAuthorization) != nullptr});
-    request_->OnDisconnected([weak = weak_from_this()] {
+    request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause /*cause*/) {
       if (const auto run = weak.lock()) run->disconnected_ = true;
     });
     const bool stream = head.target.starts_with("/draft/") || head.target.starts_with("/ask/");
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -133,7 +133,7 @@
   facts_ = owner_.options_.codec.read_request(request_->head());
   last_event_ = facts_.last_event_id;
   const auto self = shared_from_this();
-  request_->OnDisconnected([weak = weak_from_this()] {
+  request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause /*cause*/) {
     if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected();
   });
   if (Admit()) Queue();
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -53,6 +53,13 @@
          error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
 }
 
+DisconnectCause CauseOf(const ErrorCode& error) {
+  const bool unreachable = error == asio::error::timed_out ||
+                           error == asio::error::host_unreachable ||
+                           error == asio::error::network_unreachable;
+  return unreachable ? DisconnectCause::kPeerUnreachable : DisconnectCause::kPeerClosed;
+}
+
 std::string ToText(beast::string_view text) { return {text.data(), text.size()}; }
 
 }  // namespace
@@ -119,13 +126,13 @@
     AwaitRequest();
   }
 
-  void Close() {
+  void Close(DisconnectCause cause = DisconnectCause::kServerClosed) {
     if (closed_) return;
     closed_ = true;
     timer_.cancel();
     ErrorCode ignored;
     socket_.close(ignored);
-    NotifyDisconnected();
+    NotifyDisconnected(cause);
     EndRequest();
     (idle_ ? server_->idle_ : server_->busy_).erase(position_);
   }
@@ -141,7 +148,7 @@
   void StartStream(const ResponseHead& head);
   void Write(std::string_view piece);
   void EndStream();
-  void SetOnClose(std::function<void()> callback);
+  void SetOnClose(std::function<void(DisconnectCause)> callback);
   [[nodiscard]] bool response_started() const noexcept { return response_started_; }
   /// \returns true if unread bytes have arrived.
   [[nodiscard]] bool HasInput();
@@ -164,8 +171,10 @@
   void WriteOutput();
   void SetTimer(std::chrono::milliseconds limit, std::function<void()> expired);
   void SetIdle(bool idle);
-  void NotifyDisconnected() {
-    if (auto task = std::exchange(on_close_, nullptr)) asio::post(server_->loop(), std::move(task));
+  void NotifyDisconnected(DisconnectCause cause) {
+    auto callback = std::exchange(on_close_, nullptr);
+    if (!callback) return;
+    asio::post(server_->loop(), [callback = std::move(callback), cause] { callback(cause); });
   }
   void EndRequest() {
     if (std::exchange(in_request_, false)) --server_->in_flight_;
@@ -191,7 +200,7 @@
   bool wait_pending_ = false;
   bool awaiting_request_ = false;
   bool closed_ = false;
-  std::function<void()> on_close_;
+  std::function<void(DisconnectCause)> on_close_;
 
   std::deque<std::string> output_;
   std::size_t output_bytes_ = 0;
@@ -252,7 +261,7 @@
   [[nodiscard]] std::size_t buffered_bytes() const noexcept override {
     return connection_->IsInProgress(number_) ? connection_->buffered_bytes() : 0;
   }
-  void OnDisconnected(std::function<void()> callback) override {
+  void OnDisconnected(std::function<void(DisconnectCause)> callback) override {
     if (connection_->IsInProgress(number_) && !ended_) connection_->SetOnClose(std::move(callback));
   }
 
@@ -322,7 +331,7 @@
     self->wait_pending_ = false;
     if (self->closed_) return;
     if (error) {
-      self->Close();
+      self->Close(CauseOf(error));
       return;
     }
     self->OnReadable();
@@ -344,14 +353,17 @@
   if (!in_request_) return;
   char byte = 0;
   const ssize_t received = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool no_input = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  const int problem = errno;
+  const bool no_input =
+      received < 0 && (problem == EAGAIN || problem == EWOULDBLOCK || problem == EINTR);
   if (no_input) {
     WatchForDisconnect();
     return;
   }
   // Once a further request has arrived, its unread bytes hide the end of the connection.
   if (received > 0) return;
-  Close();
+  Close(received == 0 ? DisconnectCause::kPeerClosed
+                      : CauseOf(ErrorCode(problem, boost::system::system_category())));
 }
 
 void IncomingConnection::ReadHeader() {
@@ -426,7 +438,7 @@
   server_->Handle(std::move(request));
 }
 
-void IncomingConnection::SetOnClose(std::function<void()> callback) {
+void IncomingConnection::SetOnClose(std::function<void(DisconnectCause)> callback) {
   on_close_ = std::move(callback);
 }
 
@@ -507,7 +519,7 @@
                       self->writing_ = false;
                       self->output_bytes_ -= batch->size();
                       if (error) {
-                        self->Close();
+                        self->Close(CauseOf(error));
                         return;
                       }
                       self->WriteOutput();
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -13,9 +13,22 @@
 namespace {
 
 using std::chrono::milliseconds;
+using ::testing::ElementsAre;
 using ::testing::StartsWith;
 using testing_support::RawCall;
 
+/// \returns a socket on which `request` was sent and the answer is not read.
+int ConnectWithoutReading(std::uint16_t port, const std::string& request) {
+  const int peer = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(::connect(peer, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+  EXPECT_EQ(::send(peer, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+  return peer;
+}
+
 constexpr const char* kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
 /// Server whose event loop runs only when the test lets it run.
@@ -179,5 +192,64 @@
   EXPECT_EQ(idle->Finish(), "");
 }
 
+/// Server that starts a response to each request and does not end it.
+class IncomingDisconnectTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto server = IncomingServer::Start(
+        loop_, {.listen = "127.0.0.1:0"}, [this](const std::shared_ptr<IncomingRequest>& request) {
+          request_ = request;
+          request->OnDisconnected([this](DisconnectCause cause) { causes_.push_back(cause); });
+          request->StartStream({.status = 200, .reason = {}, .headers = {}});
+          request->Write("begun");
+        });
+    ASSERT_TRUE(server.ok()) << server.error();
+    server_ = std::move(server).value();
+  }
+
+  /// Runs the loop until `done` or `limit`.
+  void RunUntil(const std::function<bool()>& done,
+                std::chrono::seconds limit = std::chrono::seconds(10)) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      loop_.restart();
+      loop_.run_for(milliseconds(10));
+    }
+  }
+
+  EventLoop loop_{1};
+  std::shared_ptr<IncomingRequest> request_;
+  std::vector<DisconnectCause> causes_;
+  std::unique_ptr<IncomingServer> server_;
+};
+
+// Guards against answers cut by a stop of the server that are recorded as closed by the caller.
+TEST_F(IncomingDisconnectTest, ReportsAClosedServer) {
+  RawCall call(server_->port(), kRequest);
+  RunUntil([this] { return request_ != nullptr; });
+  server_.reset();
+  RunUntil([this] { return !causes_.empty(); });
+  EXPECT_THAT(causes_, ElementsAre(DisconnectCause::kServerClosed));
+}
+
+// Guards against callers that leave during the answer and are recorded as cut off by the server.
+TEST_F(IncomingDisconnectTest, ReportsAPeerThatCloses) {
+  RawCall call(server_->port(), kRequest);
+  RunUntil([this] { return request_ != nullptr; });
+  call.Disconnect();
+  RunUntil([this] { return !causes_.empty(); });
+  EXPECT_THAT(causes_, ElementsAre(DisconnectCause::kPeerClosed));
+}
+
+// Guards against callers that stop to read the answer and are recorded as having closed.
+TEST_F(IncomingDisconnectTest, ReportsAPeerThatAcknowledgesNoData) {
+  const int peer = ConnectWithoutReading(server_->port(), kRequest);
+  RunUntil([this] { return request_ != nullptr; });
+  request_->Write(std::string(std::size_t{16} * 1024 * 1024, 'x'));
+  RunUntil([this] { return !causes_.empty(); }, std::chrono::seconds(25));
+  EXPECT_THAT(causes_, ElementsAre(DisconnectCause::kPeerUnreachable));
+  ::close(peer);
+}
+
 }  // namespace
 }  // namespace briarwood::http
