Reset a response that ends with its connection if it is cut

What callers saw: an HTTP/1.0 caller, whose streamed response has neither a length nor chunks, took a response that was aborted, cut at a stop or ended by the death of the process for a complete one.

Cause: the connection was closed in order, and the end of the connection is the end of such a response.

Ruled out: responses with a length or chunks, whose missing end shows.

Change: from the start of such a response until it is written, closing the socket resets the connection; this also holds when the kernel closes it.

Result: the three Resets... tests of IncomingDisconnectTest failed on the unchanged code and pass; a complete response still ends in order.

--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -171,6 +171,7 @@
   void WriteOutput();
   void SetTimer(std::chrono::milliseconds limit, std::function<void()> expired);
   void SetIdle(bool idle);
+  void SetResetOnClose(bool reset);
   void NotifyDisconnected(DisconnectCause cause) {
     auto callback = std::exchange(on_close_, nullptr);
     if (!callback) return;
@@ -293,6 +294,11 @@
   idle_ = idle;
 }
 
+void IncomingConnection::SetResetOnClose(bool reset) {
+  ErrorCode ignored;
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void IncomingConnection::AwaitRequest() {
   parser_.reset();
   on_close_ = nullptr;
@@ -457,6 +463,9 @@
   if (response_started_) return;
   response_started_ = true;
   chunked_ = !peer_is_http_1_0_;
+  // The end of the connection completes such a response, so until the response has ended the
+  // connection must not close in order, not even if the process ends.
+  if (!chunked_) SetResetOnClose(true);
   close_after_response_ = close_after_response_ || server_->keep_alive_disabled() || !chunked_;
   Send(SerializeResponse(head, chunked_ ? BodyFraming::kChunked : BodyFraming::kClose, 0,
                          close_after_response_));
@@ -536,6 +545,7 @@
     return;
   }
   if (close_after_response_) {
+    SetResetOnClose(false);
     ErrorCode ignored;
     socket_.shutdown(Socket::shutdown_both, ignored);
     Close();
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -1,7 +1,9 @@
 #include "briarwood/http/incoming.h"
 
 #include <gmock/gmock.h>
+#include <sys/wait.h>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -217,6 +219,11 @@
     }
   }
 
+  void RunFor(milliseconds time) {
+    loop_.restart();
+    loop_.run_for(time);
+  }
+
   EventLoop loop_{1};
   std::shared_ptr<IncomingRequest> request_;
   std::vector<DisconnectCause> causes_;
@@ -251,5 +258,67 @@
   ::close(peer);
 }
 
+/// Reads a response to its end. \returns false if the connection was reset.
+bool EndsInOrder(int peer) {
+  std::array<char, 4096> buffer{};
+  ssize_t size = 0;
+  do {
+    size = ::recv(peer, buffer.data(), buffer.size(), 0);
+  } while (size > 0);
+  return size == 0;
+}
+
+// Guards against an aborted response to an HTTP/1.0 caller, which ends with its connection, that
+// looks complete.
+TEST_F(IncomingDisconnectTest, ResetsAnAbortedResponseThatEndsWithItsConnection) {
+  const int aborted = ConnectWithoutReading(server_->port(), "GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+  RunUntil([this] { return request_ != nullptr; });
+  RunFor(milliseconds(20));
+  request_->Abort();
+  EXPECT_FALSE(EndsInOrder(aborted));
+  ::close(aborted);
+}
+
+// Guards against a complete response to an HTTP/1.0 caller that is reset.
+TEST_F(IncomingDisconnectTest, EndsACompleteResponseToAnHttp10CallerInOrder) {
+  const int peer = ConnectWithoutReading(server_->port(), "GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+  RunUntil([this] { return request_ != nullptr; });
+  request_->Write(std::string(std::size_t{256} * 1024, 'x'));
+  request_->EndStream();
+  RunUntil([this] { return server_->connections() == 0; });
+  EXPECT_TRUE(EndsInOrder(peer));
+  ::close(peer);
+}
+
+// Guards against a stop that cuts a response to an HTTP/1.0 caller and looks like its end.
+TEST_F(IncomingDisconnectTest, ResetsACutResponseThatEndsWithItsConnectionAtAStop) {
+  const int peer = ConnectWithoutReading(server_->port(), "GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+  RunUntil([this] { return request_ != nullptr; });
+  RunFor(milliseconds(20));
+  server_.reset();
+  EXPECT_FALSE(EndsInOrder(peer));
+  ::close(peer);
+}
+
+// Guards against a process that is killed during a response to an HTTP/1.0 caller and whose end
+// looks like that of the response.
+TEST_F(IncomingDisconnectTest, ResetsAResponseThatEndsWithItsConnectionWhenTheProcessEnds) {
+  const int peer = ConnectWithoutReading(server_->port(), "GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+  loop_.notify_fork(EventLoop::fork_prepare);
+  const pid_t process = ::fork();
+  ASSERT_GE(process, 0);
+  if (process == 0) {
+    ::close(peer);
+    loop_.notify_fork(EventLoop::fork_child);
+    RunUntil([this] { return request_ != nullptr; });
+    RunFor(milliseconds(20));
+    ::_exit(0);
+  }
+  loop_.notify_fork(EventLoop::fork_parent);
+  EXPECT_FALSE(EndsInOrder(peer));
+  ::waitpid(process, nullptr, 0);
+  ::close(peer);
+}
+
 }  // namespace
 }  // namespace briarwood::http
