Test answers that have neither a length nor chunks

What callers saw: nothing; the tests were missing. Which part decides that such an answer is complete was read from the code: the parser (an orderly end; a reset ends the call as cut short), the exchange (no rest of an event is left), the caller side (chunks or a length of its own), the pool (the connection is not kept).

Ruled out as faults by these tests: a reset or an end inside an event that looks complete, a kept connection of the caller that is lost with that of the server, and reuse of a connection that was to end the answer.

Change: six tests of AnswerWithoutLengthTest and one of the client of the stand-alone daemons; no program changes.

--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -263,5 +263,146 @@
   EXPECT_EQ(runs, 1);
 }
 
+/// Backend servers whose answers have neither a length nor chunks and end with their connection.
+class AnswerWithoutLengthTest : public FaultyBackendTest {
+ protected:
+  static std::string Head(const RawServer::Request& request, const std::string& type,
+                          const std::string& headers = "") {
+    return "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: " + IdOf(request) +
+           "\r\nBriarwood-Signature: sig-1\r\nContent-Type: " + type + "\r\n" + headers + "\r\n";
+  }
+
+  static std::string OpenStream(const RawServer::Request& request) {
+    return Head(request, "text/event-stream");
+  }
+
+  /// Sends the rest of the stream of four events and ends it in order.
+  static void FinishStream(const RawServer::Connection& connection,
+                           const RawServer::Request& request) {
+    const std::string last = HeaderOf(request.head, "Last-Event-Id");
+    std::string rest;
+    for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= 4; ++id) rest += Event(id);
+    connection.Send(OpenStream(request) + rest);
+    connection.Close();
+  }
+
+  /// Request over a connection that the caller keeps.
+  static std::string KeptRequest(const std::string& id, const std::string& line) {
+    std::string text = RequestOf(id, line);
+    const std::string close = "Connection: close\r\n";
+    return text.erase(text.find(close), close.size());
+  }
+};
+
+// Guards against a stream without a length that never ends for its caller, or that takes the kept
+// connection of the caller with it.
+TEST_F(AnswerWithoutLengthTest, EndsAStreamWithItsConnection) {
+  FakeBackend backend(FinishStream);
+  List("m-1", backend.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), KeptRequest("id-1", "POST /ask/x"));
+  ASSERT_TRUE(call.WaitFor("\r\n0\r\n\r\n"));
+  call.Send(RequestOf("id-2", "POST /ask/x"));
+  const std::string responses = call.Finish();
+  EXPECT_THAT(Body(responses), StartsWith(Event(1) + Event(2) + Event(3) + Event(4)));
+  EXPECT_EQ(backend.requests().size(), 2U);
+  EXPECT_THAT(responses, Not(HasSubstr("<cut>")));
+}
+
+// Guards against a stream without a length that is reset and looks complete to its caller.
+TEST_F(AnswerWithoutLengthTest, AbortsAStreamThatIsReset) {
+  std::atomic<bool> received = false;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    connection.Send(OpenStream(request) + Event(1) + Event(2));
+    while (!received) std::this_thread::sleep_for(milliseconds(2));
+    connection.Reset();
+  });
+  List("m-1", backend.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /ask/x", "", "{}"));
+  EXPECT_TRUE(call.WaitFor("piece2"));
+  received = true;
+  EXPECT_EQ(Body(call.Finish()), Event(1) + Event(2) + "<cut>");
+}
+
+// Guards against a stream without a length that ends inside an event and looks complete.
+TEST_F(AnswerWithoutLengthTest, AbortsAStreamThatEndsInsideAnEvent) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(OpenStream(request) + Event(1) + "id: 2\ndata: pi");
+    connection.Close();
+  });
+  List("m-1", backend.address());
+  StartReadyEntry();
+  EXPECT_EQ(Body(Call("POST /ask/x", "", "{}")), Event(1) + "<cut>");
+}
+
+// Guards against a resumable stream without a length that is not resumed after a reset or an end
+// inside an event.
+TEST_F(AnswerWithoutLengthTest, ResumesAStreamThatIsBrokenOff) {
+  std::atomic<bool> reset = true;
+  std::atomic<bool> received = false;
+  const auto serve = [&](const RawServer::Connection& connection,
+                         const RawServer::Request& request) {
+    if (!HeaderOf(request.head, "Last-Event-Id").empty()) {
+      FinishStream(connection, request);
+      return;
+    }
+    connection.Send(OpenStream(request) + Event(1) + "id: 2\ndata: pi");
+    while (!received) std::this_thread::sleep_for(milliseconds(2));
+    reset ? connection.Reset() : connection.Close();
+  };
+  FakeBackend first(serve);
+  FakeBackend second(serve);
+  List("m-1", first.address());
+  List("m-2", second.address());
+  StartReadyEntry();
+  for (const bool value : {true, false}) {
+    reset = value;
+    received = false;
+    RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+    EXPECT_TRUE(call.WaitFor("piece1"));
+    received = true;
+    EXPECT_EQ(Body(call.Finish()), Event(1) + Event(2) + Event(3) + Event(4));
+  }
+}
+
+// Guards against a whole answer without a length that is delivered although it was reset, and
+// against one that ended in order and is not delivered.
+TEST_F(AnswerWithoutLengthTest, DeliversAWholeAnswerOnlyAfterAnOrderlyEnd) {
+  std::atomic<bool> reset = false;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    connection.Send(Head(request, "text/plain") + "all of it");
+    if (!reset) {
+      connection.Close();
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.Reset();
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  const std::string response = Call("POST /book/x", "", "{}");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(response, HasSubstr("Content-Length: 9\r\n"));
+  EXPECT_EQ(Body(response), "all of it");
+  reset = true;
+  EXPECT_THAT(Call("POST /book/x", "", "{}"), StartsWith("HTTP/1.1 502"));
+}
+
+// Guards against a further request over a connection whose answer has no end other than that of
+// the connection, also if the server states that it keeps the connection.
+TEST_F(AnswerWithoutLengthTest, ReusesNoConnectionThatEndsTheAnswer) {
+  std::atomic<int> answers = 0;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    connection.Send(Head(request, "text/plain", "Connection: keep-alive\r\n") + "answer " +
+                    std::to_string(++answers));
+    connection.Close();
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  EXPECT_EQ(Body(Call("POST /book/x", "", "{}")), "answer 1");
+  EXPECT_EQ(Body(Call("POST /book/x", "", "{}")), "answer 2");
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
--- a/tests/http/client_server_test.cc
+++ b/tests/http/client_server_test.cc
@@ -13,6 +13,7 @@
 
 #include "briarwood/http/client.h"
 #include "briarwood/http/server.h"
+#include "support/raw_server.h"
 
 namespace briarwood::http {
 namespace {
@@ -236,5 +237,25 @@
   EXPECT_FALSE(finished.get_future().get());
 }
 
+// Guards against a response with neither a length nor chunks that was reset and counts as complete,
+// and against one that ended in order and does not.
+TEST(HttpClientServerTest, ResponseWithoutLengthIsCompleteOnlyAfterAnOrderlyEnd) {
+  using testing_support::RawServer;
+  RawServer server([](const RawServer::Connection& connection, const RawServer::Request& request) {
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nall of it");
+    if (request.path == "/whole") {
+      connection.Close();
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.Reset();
+  });
+  Client client({.base_url = server.url()});
+  EXPECT_EQ(client.SendAndWait("POST", "/whole", {}, "x").body, "all of it");
+  auto collected = std::make_shared<Collected>();
+  client.Send("POST", "/reset", {}, "x", Collect(collected));
+  EXPECT_FALSE(collected->ended.get_future().get().complete);
+}
+
 }  // namespace
 }  // namespace briarwood::http
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -45,6 +45,14 @@
 
     void Close() const { ::shutdown(socket_, SHUT_RDWR); }
 
+    /// Resets the connection, as a server process that is killed with unread input.
+    void Reset() const {
+      // On Linux, dissolving the association of a connected socket resets the connection.
+      sockaddr none{};
+      none.sa_family = AF_UNSPEC;
+      static_cast<void>(::connect(socket_, &none, sizeof(none)));
+    }
+
     /// \returns true if the peer has closed or reset the connection.
     [[nodiscard]] bool PeerClosed() const {
       char byte = 0;
