Do not give up the attempts of an agent whose events arrive

What callers saw: at the stand-alone entry an answer in progress was given up after 10 s without heartbeats of its agent, although its events arrived; it was aborted if the retry budget was spent or no other server had room, and the outcome of a non-idempotent call became unknown.

Cause: heartbeats come through the relay tree, and the liveness of a server looked at nothing else.

Ruled out: a fault of the whole tree, which is recognized already and stays so, since contact does not count as a heartbeat.

Change: data that an entry receives from an agent itself counts as contact, and a server with recent contact is neither suspected nor dead.

--- a/src/entry/backend_liveness.cc
+++ b/src/entry/backend_liveness.cc
@@ -16,7 +16,9 @@
 }
 
 void BackendLiveness::RemoveUnconfigured(const std::set<std::string>& configured) {
-  std::erase_if(last_seen_, [&](const auto& item) { return !configured.contains(item.first); });
+  const auto unconfigured = [&](const auto& item) { return !configured.contains(item.first); };
+  std::erase_if(last_seen_, unconfigured);
+  std::erase_if(last_contact_, unconfigured);
 }
 
 std::set<std::string> BackendLiveness::TimedOut(common::Time now, common::Duration timeout) const {
@@ -26,6 +28,10 @@
     if (now - seen >= timeout) timed_out.insert(id);
   }
   if (timed_out.size() * 2 >= last_seen_.size()) return {};
+  std::erase_if(timed_out, [&](const std::string& id) {
+    const auto contact = last_contact_.find(id);
+    return contact != last_contact_.end() && now - contact->second < timeout;
+  });
   return timed_out;
 }
 
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -295,6 +295,18 @@
 }
 
 void Dispatcher::Report(const schema::LoadReport& load, common::Time now) {
+  const std::lock_guard lock(mutex_);
+  liveness_.OnContact(load.backend_server(), now);
+  ApplyLoad(load, now);
+}
+
+void Dispatcher::ReportRelayed(const schema::LoadReport& load, common::Time now) {
+  const std::lock_guard lock(mutex_);
+  liveness_.OnHeartbeat(load.backend_server(), now - std::chrono::milliseconds(load.age_ms()));
+  ApplyLoad(load, now);
+}
+
+void Dispatcher::ApplyLoad(const schema::LoadReport& load, common::Time now) {
   routing::LoadSample sample{.id = common::BackendServerId(load.backend_server()),
                              .taken_at = now - std::chrono::milliseconds(load.age_ms()),
                              .running = load.running(),
@@ -307,21 +319,12 @@
   for (std::size_t i = 0; i < tiers; ++i) {
     sample.preemptible[i] = load.preemptible_by_tier(static_cast<int>(i));
   }
-  const std::lock_guard lock(mutex_);
   placement_.Report(sample, now);
   if (load.token_gap_us() != 0) {
     placement_.ObserveTokenGap(sample.id, std::chrono::microseconds(load.token_gap_us()), now);
   }
 }
 
-void Dispatcher::ReportRelayed(const schema::LoadReport& load, common::Time now) {
-  {
-    const std::lock_guard lock(mutex_);
-    liveness_.OnHeartbeat(load.backend_server(), now - std::chrono::milliseconds(load.age_ms()));
-  }
-  Report(load, now);
-}
-
 void Dispatcher::OnSync(common::Time now) {
   const std::lock_guard lock(mutex_);
   liveness_.OnSync(now);
--- a/src/entry/impl/dispatcher.h
+++ b/src/entry/impl/dispatcher.h
@@ -86,6 +86,7 @@
   /// Stops tracking the request, whether queued or running.
   void Finish(const common::RequestId& id);
 
+  /// Records a load report that the agent sent to this entry itself.
   void Report(const schema::LoadReport& load, common::Time now);
 
   /// Records a load report that arrived through the relay tree; it also counts as a heartbeat of
@@ -116,6 +117,7 @@
   [[nodiscard]] SchedulerPtr MakeScheduler() const;
   void ConfigureBackends(const Directory& directory);
   void UpdateLiveness(common::Time now);
+  void ApplyLoad(const schema::LoadReport& load, common::Time now);
   void ReplaceSchedulers();
   void QueueAgain(TrackedRequest& tracked, std::uint64_t resume_from, common::Time now);
   void TakeFrom(routing::Scheduler& scheduler, common::Time now, DispatchRound& round);
