Wait for the first request of a connection that a stopping entry has just accepted

Cause: idle meant that no byte had arrived, also for a connection a few milliseconds old. Ruled out: requests whose bytes had arrived, which are read. A new connection now has 500 ms for its first request. Test: AnswersTheFirstRequestOfANewConnection failed before (0 of 1 answered) and passes. ClosesConnectionsWithoutARequest expected a connection of 20 ms age to be closed at once, which is the fault itself; it now checks that the connection is kept and that it is closed 500 ms later.

--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -30,6 +30,9 @@
 constexpr std::size_t kMaxIdleBufferBytes = 4096;
 /// The connection is closed if the peer acknowledges no data for this time.
 constexpr std::chrono::milliseconds kPeerTimeout{10'000};
+/// Time in which the first request on a new connection arrives, unless a packet of it is lost
+/// twice.
+constexpr std::chrono::milliseconds kFirstRequestTimeout{500};
 /// Delay after a failed accept, which usually means that the process has run out of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 
@@ -152,6 +155,10 @@
   [[nodiscard]] bool response_started() const noexcept { return response_started_; }
   /// \returns true if unread bytes have arrived.
   [[nodiscard]] bool HasInput();
+  /// \returns true if the peer has just connected and its first request is probably on its way.
+  [[nodiscard]] bool ExpectsFirstRequest() const {
+    return request_number_ == 0 && common::BootClock::now() - accepted_at_ < kFirstRequestTimeout;
+  }
 
  private:
   using Parser = beast::http::request_parser<beast::http::string_body>;
@@ -189,6 +196,7 @@
   std::optional<Parser> parser_;
   std::list<std::shared_ptr<IncomingConnection>>::iterator position_;
 
+  common::Time accepted_at_ = common::BootClock::now();
   std::uint64_t request_number_ = 0;
   bool in_request_ = false;
   bool response_started_ = false;
@@ -661,7 +669,7 @@
   const auto idle = impl_->idle_;
   for (const auto& connection : idle) {
     // A request that has already arrived is read and answered by its pending wait.
-    if (!connection->HasInput()) connection->Close();
+    if (!connection->HasInput() && !connection->ExpectsFirstRequest()) connection->Close();
   }
 }
 
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -93,17 +93,36 @@
   EXPECT_THAT(waiting.Finish(), StartsWith("HTTP/1.1 200"));
 }
 
-// Guards against connections that stay open without a request during a planned stop.
+// Guards against connections that stay open without a request during a planned stop: they are
+// closed once their first request is overdue.
 TEST_F(IncomingStopTest, ClosesConnectionsWithoutARequest) {
   RawCall unused(server_->port(), "");
   while (server_->connections() < 1) loop_.run_one_for(milliseconds(50));
   loop_.run_for(milliseconds(20));
   server_->StopAccepting();
   server_->CloseIdle();
+  EXPECT_EQ(server_->connections(), 1U);
+  loop_.run_for(milliseconds(500));
+  server_->CloseIdle();
   EXPECT_EQ(server_->connections(), 0U);
   EXPECT_EQ(handled_, 0);
 }
 
+// Guards against a planned stop that resets a connection which it has just accepted, while the
+// request of its caller is on its way.
+TEST_F(IncomingStopTest, AnswersTheFirstRequestOfANewConnection) {
+  RawCall late(server_->port(), "");
+  while (server_->connections() < 1) loop_.run_one_for(milliseconds(50));
+  server_->DisableKeepAlive();
+  server_->StopAccepting();
+  server_->CloseIdle();
+  loop_.run_for(milliseconds(20));
+  late.Send(kRequest);
+  RunUntilClosed();
+  EXPECT_EQ(handled_, 1);
+  EXPECT_THAT(late.Finish(), StartsWith("HTTP/1.1 200"));
+}
+
 /// Server with its own limits, whose event loop runs only when the test lets it run.
 class IncomingIdleTest : public testing::Test {
  protected:
