Log why a caller's connection closed before the end of its answer

request_end outcome=caller_gone did not tell a caller that left from one that was unreachable or from a connection that the entry itself closed, so a loss at a stop could not be told from a caller's choice. The reason now names which of the three it was. No change of what callers get; the tests of stops and of callers that leave pass.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -108,6 +108,18 @@
   return "unknown";
 }
 
+std::string_view NameOf(http::DisconnectCause cause) {
+  switch (cause) {
+    case http::DisconnectCause::kPeerClosed:
+      return "caller_closed";
+    case http::DisconnectCause::kPeerUnreachable:
+      return "caller_unreachable";
+    case http::DisconnectCause::kServerClosed:
+      return "entry_closed";
+  }
+  return "unknown";
+}
+
 std::string_view NameOf(http::CallEnd end) {
   switch (end) {
     case http::CallEnd::kComplete:
@@ -145,8 +157,8 @@
   facts_ = owner_.options_.codec.read_request(request_->head());
   last_event_ = facts_.last_event_id;
   const auto self = shared_from_this();
-  request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause /*cause*/) {
-    if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected();
+  request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause cause) {
+    if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected(cause);
   });
   if (Admit()) Queue();
 }
@@ -890,7 +902,7 @@
   owner_.pool_.Release(attempt.backend_server, attempt.connection, now);
 }
 
-void Exchange::OnCallerDisconnected() {
+void Exchange::OnCallerDisconnected(http::DisconnectCause cause) {
   if (state_ == State::kEnded) return;
   disconnected_ = true;
   if (state_ == State::kRunning && attempt_ && !retryable() &&
@@ -902,7 +914,7 @@
     attempt_->connection->Close();
     ReleaseAttempt(AttemptResult::kInconclusive);
   }
-  End("caller_gone", 0, "");
+  End("caller_gone", 0, NameOf(cause));
 }
 
 void Exchange::CheckTimeouts(common::Time now) {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -110,7 +110,7 @@
   void OnFailedAttempt(http::CallEnd end);
   void LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const;
   void OnRejectedAttempt();
-  void OnCallerDisconnected();
+  void OnCallerDisconnected(http::DisconnectCause cause);
   /// Records the start of the response, or the gap before a further event of a stream.
   void RecordProgress();
   void ReleasePromptWork(Attempt& attempt);
