Estimate at a stop with the longest recent responses instead of the mean

The estimate is now the maximum of the last 64 responses of the class by expected output, with a margin of a fifth; a rejected caller goes to another entry at once, a cut one has lost its answer. Fewer than 8 responses of a class give no estimate.

--- a/include/briarwood/routing/response_time_estimator.h
+++ b/include/briarwood/routing/response_time_estimator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,10 +11,10 @@
 
 namespace briarwood::routing {
 
-/// Estimates how long a response lasts from the arrival of its request, so that an entry that stops
-/// takes only requests that it can finish. The estimate of a class grows linearly with the expected
-/// output and covers most responses: it is the mean plus four mean deviations, as in the
-/// retransmission timeout of TCP.
+/// Estimates how long a response may last from the arrival of its request, so that an entry that
+/// stops takes only requests that it can finish. The lengths of outputs vary widely around what
+/// callers expect, and a rejected caller can go to another entry at once, so the estimate is the
+/// upper end of the recent responses of the class, by expected output, and not their mean.
 class ResponseTimeEstimator {
  public:
   /// Records a response that has ended.
@@ -22,26 +24,30 @@
   void Observe(const common::ClassId& class_id, std::uint64_t output_tokens, common::Duration first,
                common::Duration total);
 
-  /// \returns the time that a response probably needs, or nothing before the first observation of
-  ///   the class.
+  /// \returns the time within which a response probably ends, or nothing if the class had too few
+  ///   responses.
   [[nodiscard]] std::optional<common::Duration> Estimate(const common::ClassId& class_id,
                                                          std::uint64_t output_tokens) const;
 
  private:
-  class Average {
+  /// Maximum of the last observations.
+  class RecentMaximum {
    public:
     void Observe(double value) noexcept;
-    [[nodiscard]] double upper() const noexcept;
+    [[nodiscard]] double value() const noexcept;
+    [[nodiscard]] std::size_t count() const noexcept { return count_; }
 
    private:
-    bool observed_ = false;
-    double mean_ = 0;
-    double deviation_ = 0;
+    static constexpr std::size_t kObservations = 64;
+
+    std::array<float, kObservations> values_{};
+    std::size_t count_ = 0;
+    std::size_t next_ = 0;
   };
 
   struct ClassState {
-    Average first_s;
-    Average s_per_token;
+    RecentMaximum first_s;
+    RecentMaximum s_per_token;
   };
 
   std::map<common::ClassId, ClassState> classes_;
--- a/src/routing/response_time_estimator.cc
+++ b/src/routing/response_time_estimator.cc
@@ -1,14 +1,14 @@
 #include "briarwood/routing/response_time_estimator.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace briarwood::routing {
 namespace {
 
-constexpr double kMeanGain = 0.125;
-constexpr double kDeviationGain = 0.25;
-constexpr double kDeviations = 4;
+/// Factor for responses that last longer than all recent ones.
+constexpr double kMargin = 1.2;
+/// Responses of a class before it has an estimate.
+constexpr std::size_t kMinObservations = 8;
 /// Classes that are kept; a configuration has a few.
 constexpr std::size_t kMaxClasses = 256;
 
@@ -18,20 +18,14 @@
 
 }  // namespace
 
-void ResponseTimeEstimator::Average::Observe(double value) noexcept {
-  if (!observed_) {
-    observed_ = true;
-    mean_ = value;
-    deviation_ = value / 2;
-    return;
-  }
-  const double error = value - mean_;
-  mean_ += kMeanGain * error;
-  deviation_ += kDeviationGain * (std::abs(error) - deviation_);
+void ResponseTimeEstimator::RecentMaximum::Observe(double value) noexcept {
+  values_[next_] = static_cast<float>(value);
+  next_ = (next_ + 1) % kObservations;
+  count_ = std::min(count_ + 1, kObservations);
 }
 
-double ResponseTimeEstimator::Average::upper() const noexcept {
-  return mean_ + kDeviations * deviation_;
+double ResponseTimeEstimator::RecentMaximum::value() const noexcept {
+  return *std::max_element(values_.begin(), values_.end());
 }
 
 void ResponseTimeEstimator::Observe(const common::ClassId& class_id, std::uint64_t output_tokens,
@@ -46,10 +40,12 @@
 std::optional<common::Duration> ResponseTimeEstimator::Estimate(const common::ClassId& class_id,
                                                                 std::uint64_t output_tokens) const {
   const auto found = classes_.find(class_id);
-  if (found == classes_.end()) return std::nullopt;
+  if (found == classes_.end() || found->second.first_s.count() < kMinObservations) {
+    return std::nullopt;
+  }
   const ClassState& state = found->second;
-  return common::FromSeconds(state.first_s.upper() +
-                             state.s_per_token.upper() * OutputOf(output_tokens));
+  return common::FromSeconds(
+      kMargin * (state.first_s.value() + state.s_per_token.value() * OutputOf(output_tokens)));
 }
 
 }  // namespace briarwood::routing
