Weigh a cut against a second rejection in the estimate of a stopping entry

A response that probably ends in time is worth more to the caller, so the estimate is now the time within which nine of ten recent responses of the class end.

--- a/include/briarwood/routing/response_time_estimator.h
+++ b/include/briarwood/routing/response_time_estimator.h
@@ -11,10 +11,10 @@
 
 namespace briarwood::routing {
 
-/// Estimates how long a response may last from the arrival of its request, so that an entry that
-/// stops takes only requests that it can finish. The lengths of outputs vary widely around what
-/// callers expect, and a rejected caller can go to another entry at once, so the estimate is the
-/// upper end of the recent responses of the class, by expected output, and not their mean.
+/// Estimates within which time a response probably ends, counted from the arrival of its request,
+/// so that an entry that stops takes only requests that it can finish. The lengths of outputs vary
+/// widely around what callers expect, so the estimate is a high quantile of the recent responses of
+/// the class, relative to the expected output, and not their mean.
 class ResponseTimeEstimator {
  public:
   /// Records a response that has ended.
@@ -24,30 +24,22 @@
   void Observe(const common::ClassId& class_id, std::uint64_t output_tokens, common::Duration first,
                common::Duration total);
 
-  /// \returns the time within which a response probably ends, or nothing if the class had too few
-  ///   responses.
+  /// \returns the time within which nine of ten responses end, or nothing if the class had too few.
   [[nodiscard]] std::optional<common::Duration> Estimate(const common::ClassId& class_id,
                                                          std::uint64_t output_tokens) const;
 
  private:
-  /// Maximum of the last observations.
-  class RecentMaximum {
-   public:
-    void Observe(double value) noexcept;
-    [[nodiscard]] double value() const noexcept;
-    [[nodiscard]] std::size_t count() const noexcept { return count_; }
-
-   private:
-    static constexpr std::size_t kObservations = 64;
-
-    std::array<float, kObservations> values_{};
-    std::size_t count_ = 0;
-    std::size_t next_ = 0;
+  static constexpr std::size_t kObservations = 64;
+
+  struct Observation {
+    double first_s = 0;
+    double s_per_token = 0;
   };
 
   struct ClassState {
-    RecentMaximum first_s;
-    RecentMaximum s_per_token;
+    std::array<Observation, kObservations> observations;
+    std::size_t count = 0;
+    std::size_t next = 0;
   };
 
   std::map<common::ClassId, ClassState> classes_;
--- a/src/routing/response_time_estimator.cc
+++ b/src/routing/response_time_estimator.cc
@@ -1,12 +1,14 @@
 #include "briarwood/routing/response_time_estimator.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace briarwood::routing {
 namespace {
 
-/// Factor for responses that last longer than all recent ones.
-constexpr double kMargin = 1.2;
+/// A rejected caller may meet another entry that is stopping, so a response that ends in time with
+/// this probability is worth more to it than a rejection.
+constexpr double kQuantile = 0.9;
 /// Responses of a class before it has an estimate.
 constexpr std::size_t kMinObservations = 8;
 /// Classes that are kept; a configuration has a few.
@@ -16,36 +18,37 @@
   return static_cast<double>(std::max<std::uint64_t>(tokens, 1));
 }
 
-}  // namespace
-
-void ResponseTimeEstimator::RecentMaximum::Observe(double value) noexcept {
-  values_[next_] = static_cast<float>(value);
-  next_ = (next_ + 1) % kObservations;
-  count_ = std::min(count_ + 1, kObservations);
+double NonNegativeSeconds(common::Duration duration) {
+  return common::ToSeconds(std::max(duration, common::Duration::zero()));
 }
 
-double ResponseTimeEstimator::RecentMaximum::value() const noexcept {
-  return *std::max_element(values_.begin(), values_.end());
-}
+}  // namespace
 
 void ResponseTimeEstimator::Observe(const common::ClassId& class_id, std::uint64_t output_tokens,
                                     common::Duration first, common::Duration total) {
   if (classes_.size() >= kMaxClasses && !classes_.contains(class_id)) classes_.clear();
   ClassState& state = classes_[class_id];
-  state.first_s.Observe(common::ToSeconds(first));
-  state.s_per_token.Observe(common::ToSeconds(std::max(total - first, common::Duration::zero())) /
-                            OutputOf(output_tokens));
+  state.observations[state.next] = {
+      .first_s = NonNegativeSeconds(first),
+      .s_per_token = NonNegativeSeconds(total - first) / OutputOf(output_tokens)};
+  state.next = (state.next + 1) % kObservations;
+  state.count = std::min(state.count + 1, kObservations);
 }
 
 std::optional<common::Duration> ResponseTimeEstimator::Estimate(const common::ClassId& class_id,
                                                                 std::uint64_t output_tokens) const {
   const auto found = classes_.find(class_id);
-  if (found == classes_.end() || found->second.first_s.count() < kMinObservations) {
-    return std::nullopt;
-  }
+  if (found == classes_.end() || found->second.count < kMinObservations) return std::nullopt;
   const ClassState& state = found->second;
-  return common::FromSeconds(
-      kMargin * (state.first_s.value() + state.s_per_token.value() * OutputOf(output_tokens)));
+  std::vector<double> totals;
+  totals.reserve(state.count);
+  for (std::size_t i = 0; i < state.count; ++i) {
+    const Observation& observation = state.observations[i];
+    totals.push_back(observation.first_s + observation.s_per_token * OutputOf(output_tokens));
+  }
+  const auto rank = static_cast<std::ptrdiff_t>(kQuantile * static_cast<double>(state.count));
+  std::nth_element(totals.begin(), totals.begin() + rank, totals.end());
+  return common::FromSeconds(totals[static_cast<std::size_t>(rank)]);
 }
 
 }  // namespace briarwood::routing
