Keep a request alive while a callback of its connection ends it

A gap in the events of a stream that cannot be resumed ended the request inside its own data callback: closing the connection destroyed the callback with the last reference, and OnData read members afterwards. The callbacks now hold a reference for their duration. Test: EndsOnceAfterAGapInTheEvents passes without a checker before and after; under valgrind it reported the read before, and reports none now.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -375,31 +375,40 @@
   attempt_->reused_connection = attempt_->connection->connected();
   const std::uint64_t attempt = attempt_->number;
   const auto self = shared_from_this();
-  attempt_->connection->Send(http::SerializeRequest(head, request_->body()->size(), has_body),
-                             request_->body(),
-                             std::min(kConnectTimeout, std::max(left, milliseconds(1))),
-                             {.on_head =
-                                  [self, attempt](const http::ResponseHead& response) {
-                                    if (self->IsSilentAttempt(attempt))
-                                      return self->OnSilentAttemptHead(response);
-                                    return !self->IsCurrent(attempt) || self->OnHead(response);
-                                  },
-                              .on_data =
-                                  [self, attempt](std::string_view data) {
-                                    if (self->IsSilentAttempt(attempt)) {
-                                      self->OnSilentAttemptData(data);
-                                    } else if (self->IsCurrent(attempt)) {
-                                      self->OnData(data);
-                                    }
-                                  },
-                              .on_end =
-                                  [self, attempt](http::CallEnd end) {
-                                    if (self->IsSilentAttempt(attempt)) {
-                                      self->OnSilentAttemptEnd(end);
-                                    } else if (self->IsCurrent(attempt)) {
-                                      self->OnEnd(end);
-                                    }
-                                  }});
+  http::OutgoingHandlers handlers;
+  handlers.on_head = [self, attempt](const http::ResponseHead& response) {
+    return self->OnAttemptHead(attempt, response);
+  };
+  handlers.on_data = [self, attempt](std::string_view data) { self->OnAttemptData(attempt, data); };
+  handlers.on_end = [self, attempt](http::CallEnd end) { self->OnAttemptEnd(attempt, end); };
+  attempt_->connection->Send(
+      http::SerializeRequest(head, request_->body()->size(), has_body), request_->body(),
+      std::min(kConnectTimeout, std::max(left, milliseconds(1))), std::move(handlers));
+}
+
+bool Exchange::OnAttemptHead(std::uint64_t attempt, const http::ResponseHead& head) {
+  // Closing the connection destroys the callback that holds the exchange.
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) return OnSilentAttemptHead(head);
+  return !IsCurrent(attempt) || OnHead(head);
+}
+
+void Exchange::OnAttemptData(std::uint64_t attempt, std::string_view data) {
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) {
+    OnSilentAttemptData(data);
+  } else if (IsCurrent(attempt)) {
+    OnData(data);
+  }
+}
+
+void Exchange::OnAttemptEnd(std::uint64_t attempt, http::CallEnd end) {
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) {
+    OnSilentAttemptEnd(end);
+  } else if (IsCurrent(attempt)) {
+    OnEnd(end);
+  }
 }
 
 bool Exchange::IsCurrent(std::uint64_t attempt) const {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -102,6 +102,10 @@
   void LogForeignResponse(const ResponseMetadata& facts, const Attempt& attempt) const;
   [[nodiscard]] bool IsCurrent(std::uint64_t attempt) const;
   [[nodiscard]] bool IsSilentAttempt(std::uint64_t attempt) const;
+  /// Callbacks of the connection of attempt `attempt`.
+  bool OnAttemptHead(std::uint64_t attempt, const http::ResponseHead& head);
+  void OnAttemptData(std::uint64_t attempt, std::string_view data);
+  void OnAttemptEnd(std::uint64_t attempt, http::CallEnd end);
   bool OnHead(const http::ResponseHead& head);
   void OnData(std::string_view data);
   void OnEvent(const StreamEvent& event);
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -183,5 +183,19 @@
   EXPECT_EQ(Body(call.Finish()), WholeStream());
 }
 
+// Guards against use of a request after a gap in its events has ended it; run under a memory
+// checker.
+TEST_F(AnswerInProgressTest, EndsOnceAfterAGapInTheEvents) {
+  FakeBackend backend([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)));
+    std::this_thread::sleep_for(milliseconds(200));
+    connection.Send(Chunk(Event(3) + Event(4)));
+    Eventually([&connection] { return connection.PeerClosed(); });
+  });
+  List("m-1", backend.address());
+  StartReadyEntry();
+  EXPECT_EQ(Body(Call("POST /ask/x", "", "{}")), Event(1) + "<cut>");
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
