Keep a silent server until its replacement has sent the next event

The silent attempt now ends at the replacement's first new event, its complete response, or 300 ms after its head, which bounds the time in which both work on the response. attempt_replaced logs which server took over and after how long. Test: KeepsASilentServerWhenTheNextOneBreaksOffAfterItsHead failed before and passes.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -72,6 +72,9 @@
 /// Lower limits of these timeouts, before and after the first event.
 constexpr milliseconds kMinFirstEventStallTimeout{250};
 constexpr milliseconds kMinGapStallTimeout{1000};
+/// Time after the start of a replacement's response in which the silent server is kept. A server
+/// may send the head of its response and break off before its first event.
+constexpr milliseconds kMaxOverlap{300};
 /// Interval between two searches for a server that replaces a silent one.
 constexpr milliseconds kReplacementInterval{50};
 
@@ -443,10 +446,7 @@
     LogForeignResponse(facts, *attempt_);
     return false;
   }
-  if (silent_attempt_ && IsDeliverable(head, facts)) {
-    may_have_run_on_.insert(silent_attempt_->backend_server);
-    ReleaseSilentAttempt(AttemptResult::kFailure);
-  }
+  if (IsDeliverable(head, facts)) attempt_->began_at = common::BootClock::now();
   attempt_->head = head;
   attempt_->has_head = true;
   if (facts.load) {
@@ -546,7 +546,13 @@
       return;
     }
   }
-  if (IsProgress(event)) RecordProgress();
+  if (IsProgress(event)) {
+    if (silent_attempt_) GiveUpSilentAttempt();
+    RecordProgress();
+  } else if (silent_attempt_) {
+    // The silent server may still go on, with the head of its own response.
+    return;
+  }
   if (event.id) last_event_ = event.id;
   if (!std::exchange(response_started_, true)) {
     http::ResponseHead head = attempt_->head;
@@ -581,9 +587,11 @@
   const std::uint16_t status = attempt_->head.status;
   may_have_run_on_.insert(attempt_->backend_server);
   if (silent_attempt_) {
-    // The response cannot be passed on, see OnHead.
-    ReturnToSilentAttempt(AttemptResult::kSuccess);
-    return;
+    if (!attempt_->began_at) {
+      ReturnToSilentAttempt(AttemptResult::kSuccess);
+      return;
+    }
+    GiveUpSilentAttempt();
   }
   if (attempt_->streaming) {
     if (!attempt_->events.incomplete_event().empty()) {
@@ -808,6 +816,17 @@
   Release(*std::exchange(silent_attempt_, std::nullopt), result);
 }
 
+void Exchange::GiveUpSilentAttempt() {
+  owner_.log_.Info(LogLine("attempt_replaced")
+                       .Add("request", facts_.id)
+                       .Add("backend", silent_attempt_->backend_server.value())
+                       .Add("replacement", attempt_->backend_server.value())
+                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
+                       .text());
+  may_have_run_on_.insert(silent_attempt_->backend_server);
+  ReleaseSilentAttempt(AttemptResult::kFailure);
+}
+
 bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
   if (facts.not_executed || facts.is_misdirected) return false;
   if (IsSuccess(head.status)) return facts.has_signature;
@@ -951,6 +970,9 @@
     owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
     ReleasePromptWork(*attempt_);
   }
+  if (silent_attempt_ && attempt_->began_at && now - *attempt_->began_at > kMaxOverlap) {
+    GiveUpSilentAttempt();
+  }
   if (now < deadline_ && IsStalled(now)) {
     ReplaceSilentAttempt(now);
     return;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -31,6 +31,8 @@
   http::ResponseHead head;
   ResponseMetadata facts;
   bool has_head = false;
+  /// Time of the head, if the response may be passed on to the caller.
+  std::optional<common::Time> began_at;
   /// The connection has served a previous request.
   bool reused_connection = false;
   std::string body;
@@ -141,13 +143,16 @@
   [[nodiscard]] bool IsStalled(common::Time now) const;
 
   // A silent backend server may be sound and go on, so its attempt is given up only once another
-  // server has begun to respond. Until then the request has two attempts: `attempt_`, which is to
-  // replace `silent_attempt_`. Whichever makes progress first goes on, and the other one ends.
+  // server has sent the next event, or shortly after it has begun to respond. Until then the
+  // request has two attempts: `attempt_`, which is to replace `silent_attempt_`. Whichever makes
+  // progress first goes on, and the other one ends.
 
   /// Sends the request to another backend server if one has room and a retry is allowed.
   void ReplaceSilentAttempt(common::Time now);
   /// Ends the current attempt and goes on with the silent one.
   void ReturnToSilentAttempt(AttemptResult result);
+  /// Goes on with the current attempt, which has replaced the silent one.
+  void GiveUpSilentAttempt();
   /// Ends the silent attempt.
   void ReleaseSilentAttempt(AttemptResult result);
   bool OnSilentAttemptHead(const http::ResponseHead& head);
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -197,5 +197,41 @@
   EXPECT_EQ(Body(Call("POST /ask/x", "", "{}")), Event(1) + "<cut>");
 }
 
+// Guards against a sound server that is given up for its silence when the next one breaks off
+// between its head and its first event.
+TEST_F(AnswerInProgressTest, KeepsASilentServerWhenTheNextOneBreaksOffAfterItsHead) {
+  FakeBackend silent(SilentFor(milliseconds(2300)));
+  FakeBackend broken([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request));
+    std::this_thread::sleep_for(milliseconds(100));
+    connection.Close();
+  });
+  List("m-1", silent.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("piece2"));
+  List("m-2", broken.address());
+  EXPECT_EQ(Body(call.Finish()), WholeStream());
+}
+
+// Guards against a request that is lost when its silent server rejects it, or responds with an
+// error, while the replacement has not responded yet.
+TEST_F(AnswerInProgressTest, GoesOnWithTheReplacementWhenTheSilentServerRejects) {
+  FakeBackend silent([](const auto& connection, const auto& request) {
+    std::this_thread::sleep_for(milliseconds(1900));
+    connection.Send(Rejection(request));
+  });
+  FakeBackend next([](const auto& connection, const auto& request) {
+    std::this_thread::sleep_for(milliseconds(600));
+    connection.Send(StreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+  });
+  List("m-1", silent.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(Eventually([&] { return silent.requests().size() == 1; }));
+  List("m-2", next.address());
+  EXPECT_EQ(Body(call.Finish()), Event(1));
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
