Give a retry back to the budget when the replacement of a silent server reaches no server

Attempts that reach no server are free elsewhere. The charge is now refunded, and the interval between replacements doubles from 50 to 800 ms.

--- a/include/briarwood/routing/service_retry_budget.h
+++ b/include/briarwood/routing/service_retry_budget.h
@@ -40,6 +40,8 @@
   /// Takes one retry from the budget.
   /// \returns false if the budget is exhausted.
   [[nodiscard]] bool TryRetry(const std::string& service, common::Time now);
+  /// Gives the latest retry back because it did not reach a server.
+  void Refund(const std::string& service);
 
  private:
   /// Events within the window, counted in short time steps.
@@ -48,6 +50,7 @@
     std::uint64_t sum = 0;
 
     void Add(common::Time now);
+    void RemoveLatest();
     void Trim(common::Time oldest);
   };
   struct ServiceState {
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -76,7 +76,8 @@
 /// may send the head of its response and break off before its first event.
 constexpr milliseconds kMaxOverlap{300};
 /// Interval between two searches for a server that replaces a silent one.
-constexpr milliseconds kReplacementInterval{50};
+constexpr milliseconds kMinReplacementInterval{50};
+constexpr milliseconds kMaxReplacementInterval{800};
 
 /// Share of the first event's target that the engine may take; the rest is for the network and the
 /// queue.
@@ -147,6 +148,7 @@
       number_(number),
       request_(std::move(request)),
       table_(owner.table_),
+      replacement_interval_(kMinReplacementInterval),
       last_progress_at_(request_->arrived_at()) {}
 
 common::RequestId Exchange::id() const { return common::RequestId(std::to_string(number_)); }
@@ -669,6 +671,7 @@
   LogFailedAttempt(*attempt_, end);
   attempt_->connection->Close();
   if (silent_attempt_) {
+    if (!sent) owner_.retry_budget_.Refund(service_);
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
   }
@@ -769,7 +772,7 @@
     return;
   }
   if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
-  next_replacement_at_ = now + kReplacementInterval;
+  next_replacement_at_ = now + replacement_interval_;
   const std::size_t ran_on =
       may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
   if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
@@ -784,9 +787,11 @@
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
+  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
   owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
   silent_attempt_ = std::exchange(attempt_, std::nullopt);
   if (!StartAttempt(choice->id, tier, work, now)) {
+    owner_.retry_budget_.Refund(service_);
     attempt_ = std::exchange(silent_attempt_, std::nullopt);
     return;
   }
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -194,6 +194,7 @@
   std::uint64_t attempt_number_ = 0;
   /// Time of the next search for a backend server that replaces a silent one.
   common::Time next_replacement_at_;
+  std::chrono::milliseconds replacement_interval_;
   /// Backend servers to which the request was sent.
   std::set<common::BackendServerId> sent_to_;
   /// Backend servers that may have run the request.
--- a/src/routing/service_retry_budget.cc
+++ b/src/routing/service_retry_budget.cc
@@ -24,6 +24,12 @@
   }
 }
 
+void ServiceRetryBudget::Counter::RemoveLatest() {
+  if (steps.empty()) return;
+  --sum;
+  if (--steps.back().second == 0) steps.pop_back();
+}
+
 void ServiceRetryBudget::Counter::Trim(common::Time oldest) {
   while (!steps.empty() && steps.front().first < oldest) {
     sum -= steps.front().second;
@@ -50,4 +56,8 @@
   return true;
 }
 
+void ServiceRetryBudget::Refund(const std::string& service) {
+  services_[service].retries.RemoveLatest();
+}
+
 }  // namespace briarwood::routing
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -32,6 +32,20 @@
     };
   }
 
+  /// Sends events 1 and 2, is silent, and breaks off.
+  static FakeBackend::Handler BreaksOffAfter(milliseconds silence) {
+    return [silence](const auto& connection, const auto& request) {
+      connection.Send(StreamHead(request) + Chunk(Event(1)) + Chunk(Event(2)));
+      std::this_thread::sleep_for(silence);
+      connection.Close();
+    };
+  }
+
+  static void FinishStream(const RawServer::Connection& connection,
+                           const RawServer::Request& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n");
+  }
+
   static std::string WholeStream() { return Event(1) + Event(2) + Event(3) + Event(4); }
 };
 
@@ -233,5 +247,29 @@
   EXPECT_EQ(Body(call.Finish()), Event(1));
 }
 
+// Guards against replacements that never reach a server and yet use up the retry budget, so that
+// the retry is refused when the silent server breaks off.
+TEST_F(AnswerInProgressTest, KeepsTheRetryBudgetWhileReplacementsAreUnreachable) {
+  std::vector<std::unique_ptr<FakeBackend>> down;
+  FakeBackend breaks(BreaksOffAfter(milliseconds(2300)));
+  List("m-1", breaks.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("piece2"));
+  for (int i = 2; i <= 6; ++i) {
+    down.push_back(std::make_unique<FakeBackend>([](const auto&, const auto&) {}));
+    List("m-" + std::to_string(i), down.back()->address());
+    down.back()->Crash();
+  }
+  std::this_thread::sleep_for(milliseconds(2000));
+  FakeBackend up(&FinishStream);
+  List("m-7", up.address());
+  EXPECT_EQ(Body(call.Finish()), WholeStream());
+  const std::string metrics =
+      RawCall(node_->ready_port(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+          .Finish();
+  EXPECT_THAT(metrics, ::testing::Not(::testing::HasSubstr("repeat_budget_spent")));
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
--- a/tests/routing/service_retry_budget_test.cc
+++ b/tests/routing/service_retry_budget_test.cc
@@ -70,5 +70,20 @@
   EXPECT_TRUE(budget.TryRetry("llm", kStart));
 }
 
+// Guards against retries that reached no server and use up the budget of the service, and against a
+// refund that adds to the budget.
+TEST(ServiceRetryBudgetTest, RefundsARetryOnce) {
+  ServiceRetryBudget budget({.ratio = 0.5, .window = seconds(10), .burst = 0});
+  budget.SetEntryCount(1);
+  for (int i = 0; i < 10; ++i) budget.OnRequest("llm", kStart);
+  budget.Refund("llm");
+  int allowed = 0;
+  while (budget.TryRetry("llm", kStart)) ++allowed;
+  EXPECT_EQ(allowed, 4);
+  budget.Refund("llm");
+  EXPECT_TRUE(budget.TryRetry("llm", kStart));
+  EXPECT_FALSE(budget.TryRetry("llm", kStart));
+}
+
 }  // namespace
 }  // namespace briarwood::routing
