Let an answer that has begun wait for a server that has room, and for the retry budget

Streams that had begun were aborted within milliseconds when their next servers were full: rejections used up the limit of four attempts, which is for requests whose callers can go elsewhere; a retry budget spent at that moment did the same. Once the response has started, a retry now waits, 50 ms after refused connections and up to 400 ms after rejections or a spent budget, until the deadline; the route's limit of servers that may have run the request and the budget itself hold as before. Tests: ResumesAStreamWhenAServerHasRoomAgain and ResumesAfterRejectedReplacements failed before and pass.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -27,10 +27,11 @@
 constexpr double kMaxQueueShare = 0.35;
 /// Attempts of one request, including those that were rejected without being run.
 constexpr std::uint32_t kMaxAttempts = 4;
-/// Interval between attempts after kMaxAttempts if the servers cannot be reached, for a request
-/// that must not be given up. Crashed servers refuse connections and stay on the list for some
-/// seconds.
-constexpr milliseconds kUnreachableRetryInterval{50};
+/// Interval between attempts after kMaxAttempts, and until the retry budget allows one, for a
+/// request whose response has started. Crashed servers refuse connections and stay on the list for
+/// some seconds, and all servers of a service may be full for a moment.
+constexpr milliseconds kMinRetryInterval{50};
+constexpr milliseconds kMaxRetryInterval{400};
 /// Time that must be left before the deadline for a retry.
 constexpr milliseconds kMinTimeLeft{20};
 /// Reading from the backend server pauses while more than this is buffered for the caller.
@@ -149,6 +150,7 @@
       request_(std::move(request)),
       table_(owner.table_),
       replacement_interval_(kMinReplacementInterval),
+      retry_interval_(kMinRetryInterval),
       last_progress_at_(request_->arrived_at()) {}
 
 common::RequestId Exchange::id() const { return common::RequestId(std::to_string(number_)); }
@@ -666,7 +668,6 @@
 void Exchange::OnFailedAttempt(http::CallEnd end) {
   const bool sent = end != http::CallEnd::kNotSent;
   if (sent) may_have_run_on_.insert(attempt_->backend_server);
-  if (!sent) ++unsent_attempts_;
   owner_.metrics_.CountEvent(NameOf(end));
   LogFailedAttempt(*attempt_, end);
   attempt_->connection->Close();
@@ -728,25 +729,50 @@
   if (!MayRetry(may_have_run, now)) return false;
   // After an attempt that never arrived, a further one does not count against the retry budget,
   // which metrics and settings call the repeat budget.
-  if ((may_have_run || last_attempt_rejected_) && !owner_.retry_budget_.TryRetry(service_, now)) {
+  uncharged_retry_ = may_have_run || last_attempt_rejected_;
+  if (!ChargeRetry(now)) {
+    if (!response_started_) return false;
+    WaitForRetry(now);
+  } else if (sent_attempts_ < kMaxAttempts) {
+    QueueRetry(now);
+  } else {
+    WaitForRetry(now);
+  }
+  return true;
+}
+
+bool Exchange::ChargeRetry(common::Time now) {
+  if (!uncharged_retry_) return true;
+  if (!owner_.retry_budget_.TryRetry(service_, now)) {
     owner_.metrics_.CountEvent("repeat_budget_spent");
     return false;
   }
-  if (sent_attempts_ < kMaxAttempts) {
-    QueueRetry(now);
-    return true;
-  }
-  state_ = State::kWaiting;
-  retry_at_ = now + kUnreachableRetryInterval;
+  uncharged_retry_ = false;
   return true;
 }
 
+void Exchange::WaitForRetry(common::Time now) {
+  state_ = State::kWaiting;
+  retry_at_ = now + retry_interval_;
+  // An attempt that reaches no server costs nothing, unlike a rejected one.
+  if (last_attempt_rejected_ || uncharged_retry_) {
+    retry_interval_ = std::min(2 * retry_interval_, kMaxRetryInterval);
+  }
+}
+
+void Exchange::EndWait(common::Time now) {
+  if (deadline_ - now < kMinTimeLeft) {
+    Fail(kGatewayTimeout, "no_backend_in_time");
+  } else if (now >= retry_at_) {
+    ChargeRetry(now) ? QueueRetry(now) : WaitForRetry(now);
+  }
+}
+
 bool Exchange::MayRetry(bool may_have_run, common::Time now) const {
   if (state_ == State::kEnded || disconnected_) return false;
   // A response that has started is lost without a further attempt; other callers may go to another
   // entry at once.
-  const std::uint32_t counted = sent_attempts_ - (response_started_ ? unsent_attempts_ : 0);
-  if (counted >= kMaxAttempts) return false;
+  if (!response_started_ && sent_attempts_ >= kMaxAttempts) return false;
   if (deadline_ - now < kMinTimeLeft) return false;
   if (may_have_run && !retryable()) return false;
   return may_have_run_on_.size() < std::max(route_->max_attempts(), 1U);
@@ -961,11 +987,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    if (deadline_ - now < kMinTimeLeft) {
-      Fail(kGatewayTimeout, "no_backend_in_time");
-    } else if (now >= retry_at_) {
-      QueueRetry(now);
-    }
+    EndWait(now);
     return;
   }
   if (state_ != State::kRunning || !attempt_) return;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -131,6 +131,11 @@
   /// \param may_have_run  whether the backend server of the last attempt may have run the request
   [[nodiscard]] bool TryRetry(bool may_have_run);
   [[nodiscard]] bool MayRetry(bool may_have_run, common::Time now) const;
+  /// \returns false if the retry budget does not allow the next retry.
+  [[nodiscard]] bool ChargeRetry(common::Time now);
+  void WaitForRetry(common::Time now);
+  /// Queues the request that waits for a retry, if its time has come.
+  void EndWait(common::Time now);
   void QueueRetry(common::Time now);
   /// \returns the time until which the request may wait for a retry.
   [[nodiscard]] common::Time RetryQueueDeadline(common::Time now) const;
@@ -201,9 +206,10 @@
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
   std::uint32_t sent_attempts_ = 0;
-  /// Attempts in `sent_attempts_` whose server could not be reached.
-  std::uint32_t unsent_attempts_ = 0;
   common::Time retry_at_;
+  std::chrono::milliseconds retry_interval_;
+  /// The next retry counts against the retry budget and has not been charged yet.
+  bool uncharged_retry_ = false;
   std::uint64_t delivered_events_ = 0;
   bool in_scheduler_ = false;
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -271,5 +271,53 @@
   EXPECT_THAT(metrics, ::testing::Not(::testing::HasSubstr("repeat_budget_spent")));
 }
 
+// Guards against rejected replacements that use up the attempts of a request whose silent server
+// then breaks off.
+TEST_F(AnswerInProgressTest, ResumesAfterRejectedReplacements) {
+  FakeBackend breaks(BreaksOffAfter(milliseconds(2300)));
+  List("m-1", breaks.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("piece2"));
+  std::vector<std::unique_ptr<FakeBackend>> full;
+  for (int i = 2; i <= 5; ++i) {
+    full.push_back(std::make_unique<FakeBackend>(
+        [](const auto& connection, const auto& request) { connection.Send(Rejection(request)); }));
+    List("m-" + std::to_string(i), full.back()->address());
+  }
+  std::this_thread::sleep_for(milliseconds(1700));
+  FakeBackend up(&FinishStream);
+  List("m-6", up.address());
+  EXPECT_EQ(Body(call.Finish()), WholeStream());
+}
+
+// Guards against a stream that has begun and is aborted after three rejections within
+// milliseconds, although a server has room well before the time limit.
+TEST_F(AnswerInProgressTest, ResumesAStreamWhenAServerHasRoomAgain) {
+  FakeBackend breaks([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)) + Chunk(Event(2)));
+    std::this_thread::sleep_for(milliseconds(700));
+    connection.Close();
+  });
+  List("m-1", breaks.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("piece2"));
+  std::vector<std::unique_ptr<FakeBackend>> full;
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 2; i <= 5; ++i) {
+    full.push_back(
+        std::make_unique<FakeBackend>([begin](const auto& connection, const auto& request) {
+          if (std::chrono::steady_clock::now() - begin < milliseconds(1500)) {
+            connection.Send(Rejection(request));
+          } else {
+            FinishStream(connection, request);
+          }
+        }));
+    List("m-" + std::to_string(i), full.back()->address());
+  }
+  EXPECT_EQ(Body(call.Finish()), WholeStream());
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
