Do not take a server for silent while the caller reads slowly

Above 256 KiB of unsent output an entry pauses reading from the server, and nothing can arrive; after a second the server counted as silent, a second engine was started for the same answer and the retry budget was charged, although nothing was wrong but the caller's pace. A paused attempt is no longer silent, and its silence counts from the end of the pause. Test: KeepsAServerWhoseCallerReadsSlowly failed before (a second server got the request) and passes.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -516,7 +516,10 @@
     OnFailedAttempt(http::CallEnd::kInvalid);
     return;
   }
-  if (request_->buffered_bytes() > kMaxBufferedBytes) attempt_->connection->PauseReading(true);
+  if (request_->buffered_bytes() > kMaxBufferedBytes) {
+    attempt_->connection->PauseReading(true);
+    attempt_->paused = true;
+  }
 }
 
 void Exchange::BufferBody(std::string_view data) {
@@ -780,6 +783,7 @@
 
 bool Exchange::IsStalled(common::Time now) const {
   if (!retryable() || attempt_->has_head != attempt_->streaming) return false;
+  if (attempt_->paused) return false;
   const milliseconds target(route_->target_ms());
   const milliseconds gap(route_->event_gap_target_ms());
   const common::Duration limit =
@@ -991,7 +995,12 @@
     return;
   }
   if (state_ != State::kRunning || !attempt_) return;
-  if (request_->buffered_bytes() <= kMaxBufferedBytes) attempt_->connection->PauseReading(false);
+  if (attempt_->paused && request_->buffered_bytes() <= kMaxBufferedBytes) {
+    attempt_->paused = false;
+    attempt_->progress_at = now;
+    attempt_->connection->PauseReading(false);
+    if (!attempt_) return;
+  }
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
     // An unresponsive server must not use up the prompt limit that the other servers share.
     owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -38,6 +38,8 @@
   std::string body;
   EventSplitter events;
   bool streaming = false;
+  /// Reading waits for the caller, which reads more slowly than the server sends.
+  bool paused = false;
   /// The response has started; for a stream, its first event has arrived.
   bool has_progress = false;
 };
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -319,5 +319,40 @@
   EXPECT_EQ(Body(call.Finish()), WholeStream());
 }
 
+// Guards against a silent server that is given up because the caller does not read: its connection
+// is paused, so nothing can arrive on it.
+TEST_F(AnswerInProgressTest, KeepsAServerWhoseCallerReadsSlowly) {
+  constexpr int kEvents = 400;
+  const std::string text(60000, 'x');
+  const auto send = [&](const RawServer::Connection& connection,
+                        const RawServer::Request& request) {
+    const std::string last = HeaderOf(request.head, "Last-Event-Id");
+    connection.Send(StreamHead(request));
+    for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= kEvents; ++id) {
+      connection.Send(Chunk("id: " + std::to_string(id) + "\ndata: " + text + "\n\n"));
+    }
+    connection.Send("0\r\n\r\n");
+  };
+  FakeBackend one(send);
+  FakeBackend two(send);
+  List("m-1", one.address());
+  StartReadyEntry();
+  const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int size = 4096;
+  ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(node_->port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(::connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+  const std::string request = Request("POST /draft/x", "", "{}");
+  ASSERT_GT(::send(caller, request.data(), request.size(), 0), 0);
+  ASSERT_TRUE(Eventually([&] { return one.requests().size() == 1; }));
+  List("m-2", two.address());
+  std::this_thread::sleep_for(milliseconds(2500));
+  EXPECT_EQ(two.requests().size(), 0U);
+  ::close(caller);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
