Do not resume a stream whose events have no ids

A resumable stream without ids was sent again from its start when its server was silent or broke off, and its caller got the events twice (a b a b c in the probe). The entry cannot say where to resume, so such a stream stays with its server and ends visibly if that breaks off. Platforms that number their events, as the users' one does, see no change. Test: DoesNotRepeatAStreamWithoutIds failed before and passes.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -776,6 +776,8 @@
   // A response that has started is lost without a further attempt; other callers may go to another
   // entry at once.
   if (!response_started_ && sent_attempts_ >= kMaxAttempts) return false;
+  // Without an id of the last event, the next server would start the stream again.
+  if (response_started_ && !last_event_) return false;
   if (deadline_ - now < kMinTimeLeft) return false;
   if (may_have_run && !retryable()) return false;
   return may_have_run_on_.size() < std::max(route_->max_attempts(), 1U);
--- a/tests/forwarding/answer_in_progress_test.cc
+++ b/tests/forwarding/answer_in_progress_test.cc
@@ -11,6 +11,8 @@
   return response.substr(response.find("\r\n\r\n") + 4);
 }
 
+std::string Unnumbered(const std::string& text) { return "data: " + text + "\n\n"; }
+
 std::string Rejection(const RawServer::Request& request) {
   return "HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " +
          HeaderOf(request.head, "Briarwood-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
@@ -354,5 +356,24 @@
   ::close(caller);
 }
 
+// Guards against doubled events of a stream whose events have no ids, so that it cannot be resumed.
+TEST_F(AnswerInProgressTest, DoesNotRepeatAStreamWithoutIds) {
+  const auto send = [](milliseconds silence) {
+    return [silence](const auto& connection, const auto& request) {
+      connection.Send(StreamHead(request) + Chunk(Unnumbered("a")) + Chunk(Unnumbered("b")));
+      std::this_thread::sleep_for(silence);
+      connection.Send(Chunk(Unnumbered("c")) + "0\r\n\r\n");
+    };
+  };
+  FakeBackend silent(send(milliseconds(1500)));
+  FakeBackend next(send(milliseconds(0)));
+  List("m-1", silent.address());
+  StartReadyEntry();
+  RawCall call(node_->port(), Request("POST /draft/x", "", "{}"));
+  ASSERT_TRUE(call.WaitFor("data: b"));
+  List("m-2", next.address());
+  EXPECT_EQ(Body(call.Finish()), Unnumbered("a") + Unnumbered("b") + Unnumbered("c"));
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
