Drop an interrupted request only at its deadline

What callers saw: at the stand-alone entry a request that was preempted, or whose server broke off, before its first token was refused as overloaded at once, although it had been accepted and had time left.

Cause: when it was queued again, the target for its first token counted from its arrival and had passed while it ran; only requests with tokens were exempt.

Ruled out: the deadline of the whole request, which had not passed.

Change: with drop_late the lateness of the first token is not checked for a request with an interrupted attempt. Schedulers that demote late requests behave as before.

Result: InterruptedRequestWithoutATokenIsDroppedOnlyAtItsDeadline failed on the unchanged code and passes, with the other tests of the scheduler.

--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -210,6 +210,8 @@
   if (now >= request.deadline) return DropReason::kDeadline;
   const bool checks_lateness = options_.features.drop_late || options_.features.demote_late;
   if (!checks_lateness || request.resume_from > 0) return std::nullopt;
+  // The caller of a request that was accepted and interrupted still waits for its answer.
+  if (!options_.features.demote_late && request.interruptions > 0) return std::nullopt;
   // The prediction is capped at half of the target. Otherwise a prediction above the target would
   // drop every request of a class, and no new observation would ever correct it.
   const common::Duration target = request.first_token_deadline - request.enqueued_at;
--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -170,6 +170,24 @@
   EXPECT_DOUBLE_EQ(scheduler.VirtualTokens(first->request.class_id, first->request.customer), paid);
 }
 
+// Guards against a request that was preempted or interrupted before its first token and is dropped
+// as late at once, although its caller still waits for the answer.
+TEST(SchedulerTest, InterruptedRequestWithoutATokenIsDroppedOnlyAtItsDeadline) {
+  Scheduler scheduler = Make({Policy("question", 0)});
+  const QueuedRequest request = Request(1, "question", "a");
+  ASSERT_TRUE(scheduler.Enqueue(request, kStart).empty());
+  ASSERT_TRUE(scheduler.PickNext(kStart).has_value());
+  scheduler.Requeue(request.id, 0);
+  scheduler.DropLate(kStart + seconds(6));
+  EXPECT_TRUE(scheduler.TakeDropped().empty());
+  EXPECT_TRUE(scheduler.PickNext(kStart + seconds(6)).has_value());
+  scheduler.Requeue(request.id, 0);
+  scheduler.DropLate(kStart + seconds(600));
+  const auto dropped = scheduler.TakeDropped();
+  ASSERT_EQ(dropped.size(), 1U);
+  EXPECT_EQ(dropped[0].reason, DropReason::kDeadline);
+}
+
 // Guards against an interrupted stream that is dropped at once, because the limit of its time in
 // the queue counts from its arrival and has passed while it ran.
 TEST(SchedulerTest, RequeuedRequestWaitsUntilItsNewDeadline) {
