Drop interrupted requests last from a full queue

What callers saw: an answer that had begun and waited for its next attempt was aborted as overloaded when the queue of its class was full.

Cause: a full queue drops the newest request of the customer with the longest queue; an interrupted one counted like any other, and at the stand-alone entry, where it is queued anew if it must avoid a server, it was the newest.

Ruled out: the position in the queue. At the head a request that has to avoid the only free server would hold up the other requests of its customer.

Change: a request without an interrupted attempt is dropped first; its refusal as not run is true.

--- a/include/briarwood/routing/scheduler.h
+++ b/include/briarwood/routing/scheduler.h
@@ -224,7 +224,7 @@
   std::uint32_t IndexOf(ClassState& state, const common::CustomerId& customer);
   void Push(ClassState& state, std::uint32_t customer_index, QueuedRequest request, bool front);
   QueuedRequest PopFront(ClassState& state, std::uint32_t customer_index);
-  QueuedRequest PopBack(ClassState& state, std::uint32_t customer_index);
+  QueuedRequest TakeNewest(ClassState& state, std::uint32_t customer_index, bool interrupted);
   void AddToCounter(ClassState& state, std::uint32_t customer_index, double tokens);
   void DropLateHeads(ClassState& state, std::uint32_t customer_index, common::Time now);
   [[nodiscard]] std::optional<DropReason> Lateness(const QueuedRequest& request,
@@ -241,6 +241,10 @@
   PickedRequest StartRunning(std::uint32_t class_index, std::uint32_t customer_index,
                              QueuedRequest request, bool floor_protected);
   [[nodiscard]] std::optional<DroppedRequest> ShedFrom(ClassState& state);
+  /// \returns the customer with the longest queue; unless `interrupted`, only customers with a
+  ///   request that was not interrupted are considered.
+  [[nodiscard]] static std::optional<std::uint32_t> LongestQueue(const ClassState& state,
+                                                                 bool interrupted);
   [[nodiscard]] std::optional<DroppedRequest> ShedLowestTier();
   std::optional<RunningState> TakeRunning(const common::RequestId& id);
 
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -21,6 +21,15 @@
 /// Maximum number of customer queue heads that one pick tries to place per class.
 constexpr int kMaxPlacementChecks = 4;
 
+/// \returns the newest request of the queue; unless `interrupted`, of those that were not
+///   interrupted.
+template <typename Queue>
+auto FindNewest(Queue& queue, bool interrupted) {
+  return std::find_if(queue.rbegin(), queue.rend(), [interrupted](const QueuedRequest& request) {
+    return interrupted || request.interruptions == 0;
+  });
+}
+
 }  // namespace
 
 common::Result<Scheduler> Scheduler::Create(SchedulerOptions options) {
@@ -122,10 +131,12 @@
   return request;
 }
 
-QueuedRequest Scheduler::PopBack(ClassState& state, std::uint32_t customer_index) {
+QueuedRequest Scheduler::TakeNewest(ClassState& state, std::uint32_t customer_index,
+                                    bool interrupted) {
   CustomerState& customer = state.customers[customer_index];
-  QueuedRequest request = std::move(customer.queue.back());
-  customer.queue.pop_back();
+  const auto newest = std::prev(FindNewest(customer.queue, interrupted).base());
+  QueuedRequest request = std::move(*newest);
+  customer.queue.erase(newest);
   if (customer.queue.empty()) state.active.erase({customer.counter, customer_index});
   --state.queued;
   --queued_;
@@ -176,19 +187,30 @@
     return shed;
   }
   // Drops the newest request of the customer with the longest queue relative to its weight, so that
-  // a burst of one customer does not displace the requests of others.
+  // a burst of one customer does not displace the requests of others. An interrupted request, whose
+  // answer may have begun, is dropped only if there is no other.
+  for (const bool interrupted : {false, true}) {
+    const std::optional<std::uint32_t> longest = LongestQueue(state, interrupted);
+    if (!longest) continue;
+    return DroppedRequest{.request = TakeNewest(state, *longest, interrupted),
+                          .reason = DropReason::kQueueFull};
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint32_t> Scheduler::LongestQueue(const ClassState& state, bool interrupted) {
   std::optional<std::uint32_t> longest;
   double longest_length = -1;
   for (const auto& [counter, index] : state.active) {
     const CustomerState& customer = state.customers[index];
+    if (!interrupted && FindNewest(customer.queue, interrupted) == customer.queue.rend()) continue;
     const double length = static_cast<double>(customer.queue.size()) / customer.weight;
     if (length > longest_length) {
       longest = index;
       longest_length = length;
     }
   }
-  if (!longest) return std::nullopt;
-  return DroppedRequest{.request = PopBack(state, *longest), .reason = DropReason::kQueueFull};
+  return longest;
 }
 
 std::optional<DroppedRequest> Scheduler::ShedLowestTier() {
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -134,5 +134,21 @@
   EXPECT_TRUE(dispatcher_.IsDead(common::BackendServerId("engine-1")));
 }
 
+// Guards against a stream that is dropped as the newest request of a full queue when it waits for
+// its next attempt.
+TEST_F(DispatcherTest, InterruptedRequestIsNotDroppedFromAFullQueue) {
+  Configure({Class("question", 2)}, 2);
+  for (const char* id : {"r1", "r2"}) ASSERT_TRUE(Enqueue(id).empty());
+  ASSERT_EQ(Place().size(), 2U);
+  for (const char* id : {"r3", "r4"}) ASSERT_TRUE(Enqueue(id).empty());
+  EndAttempt("r1", AttemptOutcome::kFailure);
+  Requeue("r1", 3);
+  EXPECT_EQ(Place(), Ids{"r3"});
+  ASSERT_EQ(dropped_.size(), 1U);
+  EXPECT_EQ(dropped_[0].request.id.value(), "r4");
+  Finish("r2");
+  EXPECT_EQ(Place(), Ids{"r1"});
+}
+
 }  // namespace
 }  // namespace briarwood::entry::impl
--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -188,6 +188,33 @@
   EXPECT_EQ(dropped[0].reason, DropReason::kDeadline);
 }
 
+// Guards against a full queue that drops a request which waits for its next attempt, so that an
+// answer that has begun is lost, instead of one that has not run.
+TEST(SchedulerTest, FullQueueShedsInterruptedRequestsLast) {
+  ClassPolicy policy = Policy("question", 0);
+  policy.queue_limit = 2;
+  Scheduler scheduler = Make({policy});
+  QueuedRequest interrupted = Request(1, "question", "a");
+  interrupted.interruptions = 1;
+  ASSERT_TRUE(scheduler.Enqueue(Request(2, "question", "a"), kStart).empty());
+  ASSERT_TRUE(scheduler.Enqueue(Request(3, "question", "a"), kStart).empty());
+  auto shed = scheduler.Enqueue(interrupted, kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(3, "question", "a").id);
+  QueuedRequest second = Request(4, "question", "b");
+  second.interruptions = 1;
+  shed = scheduler.Enqueue(second, kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(2, "question", "a").id);
+  shed = scheduler.Enqueue(Request(5, "question", "b"), kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(5, "question", "b").id);
+  QueuedRequest third = Request(6, "question", "b");
+  third.interruptions = 1;
+  EXPECT_EQ(scheduler.Enqueue(third, kStart).size(), 1U);
+  EXPECT_EQ(scheduler.queued(), 2U);
+}
+
 // Guards against an interrupted stream that is dropped at once, because the limit of its time in
 // the queue counts from its arrival and has passed while it ran.
 TEST(SchedulerTest, RequeuedRequestWaitsUntilItsNewDeadline) {
