Keep waiting requests over a change of the classes

What callers saw: at the stand-alone entry a change of the configuration refused waiting requests as overloaded and aborted streams that waited for their next attempt: all of a class that the change removed, and the oldest instead of the newest if it lowered the limit of the queue.

Cause: a change of any class rebuilds the queues. Requests of a class without a policy are dropped, and the others were queued again in the order of their ids.

Ruled out: running requests, which are not touched; they hit the same when they were interrupted later.

Change: a removed class keeps its policy, without its floor, while requests of it are tracked, and the order of arrival is kept. New requests of a removed class are refused as before.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -76,6 +76,7 @@
   for (const auto& [id, request_class] : directory.classes()) {
     classes.push_back(ToPolicy(request_class));
   }
+  AddRemovedClassesInUse(classes);
   if (!std::equal(classes.begin(), classes.end(), classes_.begin(), classes_.end(), SamePolicy)) {
     classes_ = std::move(classes);
     ReplaceSchedulers();
@@ -97,14 +98,32 @@
   }
 }
 
+void Dispatcher::AddRemovedClassesInUse(std::vector<routing::ClassPolicy>& classes) const {
+  std::set<common::ClassId> missing;
+  for (const auto& [id, tracked] : tracked_) missing.insert(tracked.request.class_id);
+  for (const routing::ClassPolicy& policy : classes) missing.erase(policy.id);
+  for (routing::ClassPolicy policy : classes_) {
+    if (!missing.contains(policy.id)) continue;
+    // The floors of the new classes may add up to 1.
+    policy.floor_share = 0;
+    classes.push_back(std::move(policy));
+  }
+}
+
 void Dispatcher::ReplaceSchedulers() {
   schedulers_.clear();
   const common::Time now = common::BootClock::now();
+  std::vector<TrackedRequest*> queued;
   for (auto& [id, tracked] : tracked_) {
     // A running request moves to the new scheduler when it is queued again.
-    if (!tracked.scheduler->Cancel(id)) continue;
-    tracked.scheduler = SchedulerFor(tracked.request.capability);
-    for (routing::DroppedRequest& dropped : tracked.scheduler->Enqueue(tracked.request, now)) {
+    if (tracked.scheduler->Cancel(id)) queued.push_back(&tracked);
+  }
+  std::sort(queued.begin(), queued.end(), [](const auto* left, const auto* right) {
+    return left->request.enqueued_at < right->request.enqueued_at;
+  });
+  for (TrackedRequest* tracked : queued) {
+    tracked->scheduler = SchedulerFor(tracked->request.capability);
+    for (routing::DroppedRequest& dropped : tracked->scheduler->Enqueue(tracked->request, now)) {
       dropped_.push_back(std::move(dropped));
     }
   }
@@ -180,6 +199,7 @@
   const std::lock_guard lock(mutex_);
   TrackedRequest& tracked = tracked_[request.id];
   tracked.request = request;
+  tracked.request.enqueued_at = now;
   tracked.scheduler = SchedulerFor(request.capability);
   return tracked.scheduler->Enqueue(request, now);
 }
--- a/src/entry/impl/dispatcher.h
+++ b/src/entry/impl/dispatcher.h
@@ -118,6 +118,8 @@
   void ConfigureBackends(const Directory& directory);
   void UpdateLiveness(common::Time now);
   void ApplyLoad(const schema::LoadReport& load, common::Time now);
+  /// Adds the classes of tracked requests that a change of the configuration removed.
+  void AddRemovedClassesInUse(std::vector<routing::ClassPolicy>& classes) const;
   void ReplaceSchedulers();
   void QueueAgain(TrackedRequest& tracked, std::uint64_t resume_from, common::Time now);
   void TakeFrom(routing::Scheduler& scheduler, common::Time now, DispatchRound& round);
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -150,5 +150,36 @@
   EXPECT_EQ(Place(), Ids{"r1"});
 }
 
+// Guards against a change of the classes that reorders the queue, so that a shorter queue limit
+// drops requests that came first.
+TEST_F(DispatcherTest, ChangeOfTheClassesKeepsTheOrderOfTheQueue) {
+  Configure({Class("question")}, 1);
+  ASSERT_TRUE(Enqueue("r1").empty());
+  ASSERT_EQ(Place(), Ids{"r1"});
+  ASSERT_TRUE(Enqueue("r9", kStart + milliseconds(1)).empty());
+  ASSERT_TRUE(Enqueue("r10", kStart + milliseconds(2)).empty());
+  Configure({Class("question", 1)}, 1);
+  Finish("r1");
+  EXPECT_EQ(Place(), Ids{"r9"});
+  ASSERT_EQ(dropped_.size(), 1U);
+  EXPECT_EQ(dropped_[0].request.id.value(), "r10");
+}
+
+// Guards against a change that removes a class and with it the requests of the class that wait, or
+// are interrupted later.
+TEST_F(DispatcherTest, RemovedClassKeepsItsRequests) {
+  Configure({Class("question"), Class("draft")}, 2);
+  for (const char* id : {"r1", "r2"}) ASSERT_TRUE(Enqueue(id).empty());
+  ASSERT_EQ(Place().size(), 2U);
+  ASSERT_TRUE(Enqueue("r3").empty());
+  Configure({Class("draft")}, 2);
+  EndAttempt("r1", AttemptOutcome::kInconclusive);
+  Requeue("r1", 3);
+  EXPECT_EQ(Place().size(), 1U);
+  Finish("r2");
+  EXPECT_EQ(Place().size(), 1U);
+  EXPECT_TRUE(dropped_.empty());
+}
+
 }  // namespace
 }  // namespace briarwood::entry::impl
