Wait for the agent of a call that cannot be repeated

What callers saw: at the stand-alone entry a non-idempotent call was answered 409 outcome_unknown after 3 s if its agent had not begun to respond, although the agent ran it and answered later.

Cause: an attempt whose agent is silent for 3 s is given up, which helps only requests that may be retried.

Ruled out: repeatable requests, which go on at another server; agents respond at once, so their silence is no silence of an engine.

Change: a call waits for its agent until its deadline, or until neither heartbeats nor data come from the agent.

Result: WaitsForTheAgentOfACallThatCannotBeRepeated failed on the unchanged code with 409 after 3.5 s and passes, as does RetriesWhenAgentDoesNotRespond.

--- a/src/entry/live_request.cc
+++ b/src/entry/live_request.cc
@@ -502,7 +502,8 @@
   const bool running = state == requests::RequestSession::State::kPlaced ||
                        state == requests::RequestSession::State::kStreaming;
   if (!running || !connection_ || !agent_call_) return;
-  const bool unresponsive = !connection_->responded && now - placed_at_ >= kAcceptTimeout;
+  // A call that has been dispatched cannot be retried, and giving it up makes its outcome unknown.
+  const bool unresponsive = !call_ && !connection_->responded && now - placed_at_ >= kAcceptTimeout;
   if (!unresponsive && !services_->dispatcher->IsDead(server_)) return;
   services_->metrics->CountEvent("agent_silent");
   connection_.reset();
--- a/tests/entry/whole_path_test.cc
+++ b/tests/entry/whole_path_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 
+#include "briarwood/requests/run_codec.h"
 #include "support/test_fleet.h"
 
 namespace briarwood::entry {
@@ -84,5 +85,43 @@
   EXPECT_EQ(calls, 1U);
 }
 
+// Guards against a non-idempotent call that is given up, with an unknown outcome and nothing
+// gained, because its agent takes some seconds to accept it.
+TEST(WholePathTest, WaitsForTheAgentOfACallThatCannotBeRepeated) {
+  RawServer slow([](const RawServer::Connection& connection, const RawServer::Request& request) {
+    if (request.path != "/internal/run") return;
+    const std::optional<schema::RunRequest> run = requests::DecodeRunRequest(request.body);
+    ASSERT_TRUE(run.has_value());
+    std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+    std::string events;
+    const auto add = [&](schema::RunEvent event) {
+      event.set_request_id(run->request_id());
+      event.set_entry_incarnation(run->entry_incarnation());
+      event.set_attempt(run->attempt());
+      events += requests::EncodeRunEvent(event);
+    };
+    schema::RunEvent accepted;
+    accepted.mutable_accepted();
+    add(accepted);
+    schema::RunEvent answer;
+    answer.mutable_answer()->mutable_answer()->set_status(201);
+    answer.mutable_answer()->mutable_answer()->set_body("booked");
+    add(answer);
+    schema::RunEvent end;
+    end.mutable_end();
+    add(end);
+    connection.Respond("200 OK", events);
+  });
+  TestFleet fleet;
+  EntryNode& entry = fleet.AddEntry();
+  fleet.AddServiceWithForeignAgentAddress("service-1", slow.address());
+  fleet.Configure();
+  const std::string response =
+      RawCall(entry.port(), MakePost("/bookings", "{}", kKey, "Idempotency-Key: key-1\r\n"))
+          .Finish();
+  EXPECT_NE(response.find(" 201 "), std::string::npos) << response;
+  EXPECT_NE(response.find("booked"), std::string::npos) << response;
+}
+
 }  // namespace
 }  // namespace briarwood::entry
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -82,9 +82,12 @@
 
   /// Configures an engine whose agent address does not belong to an agent.
   void AddEngineWithForeignAgentAddress(const std::string& id, const std::string& address) {
-    backends_ += "backend_servers { id: \"" + id + "\" failure_domain: \"toton\" url: \"http://" +
-                 address + "\" agent_address: \"" + address +
-                 "\" kind: BACKEND_KIND_ENGINE model: \"planner\" max_concurrency: 8 }\n";
+    AddForeignAgent(id, address, "kind: BACKEND_KIND_ENGINE model: \"planner\"");
+  }
+
+  /// Configures a service whose agent address does not belong to an agent.
+  void AddServiceWithForeignAgentAddress(const std::string& id, const std::string& address) {
+    AddForeignAgent(id, address, "kind: BACKEND_KIND_SERVICE service: \"bookings\"");
   }
 
   /// Applies the configuration with all agents and waits until it is in force.
@@ -127,6 +130,13 @@
   }
 
  private:
+  void AddForeignAgent(const std::string& id, const std::string& address,
+                       const std::string& fields) {
+    backends_ += "backend_servers { id: \"" + id + "\" failure_domain: \"toton\" url: \"http://" +
+                 address + "\" agent_address: \"" + address + "\" " + fields +
+                 " max_concurrency: 8 }\n";
+  }
+
   TestControl control_;
   std::vector<std::unique_ptr<entry::EntryNode>> entries_;
   std::vector<std::unique_ptr<agent::AgentNode>> agents_;
