Let a planned stop wait for requests until their deadlines

What callers saw: a stop of the stand-alone entry or of an agent cut answers on sound servers after 10 minutes, although the deadline of a class may be up to 24 h.

Cause: the stop waited for a fixed time that was thought to be longer than every deadline, which the check of the configuration does not ensure.

Ruled out: streams taken while stopping; a stopping entry refuses each new request as not run at once.

Change: entry and agent wait for the given time or until the latest deadline of their requests, with 3 s for its end, and then 5 s for the delivery.

Result: StopWaitsForRequestsUntilTheirDeadlines failed on the unchanged code (both stops gave up after 0.2 s) and passes, with the other tests of WholePathTest.

--- a/include/briarwood/agent/agent_node.h
+++ b/include/briarwood/agent/agent_node.h
@@ -53,7 +53,7 @@
   [[nodiscard]] bool Ready() const;
 
   /// Planned stop: rejects new requests as `leaving` and waits for those in flight.
-  /// \returns false if requests were still in flight after `drain_timeout`.
+  /// \returns false if requests were still in flight after `drain_timeout` and their deadlines.
   bool Drain(std::chrono::milliseconds drain_timeout);
 
  private:
--- a/include/briarwood/entry/entry_node.h
+++ b/include/briarwood/entry/entry_node.h
@@ -50,7 +50,7 @@
   [[nodiscard]] std::size_t in_flight() const;
 
   /// Planned stop: rejects new requests as `not_run` and waits for those in flight.
-  /// \returns false if requests were still in flight after `drain_timeout`.
+  /// \returns false if requests were still in flight after `drain_timeout` and their deadlines.
   bool Drain(std::chrono::milliseconds drain_timeout);
 
  private:
--- a/programs/briarwood-agent/main.cc
+++ b/programs/briarwood-agent/main.cc
@@ -10,7 +10,7 @@
 namespace briarwood {
 namespace {
 
-// Longer than the deadline of every request.
+// A request with a later deadline is waited for until then.
 constexpr std::chrono::minutes kDrainTimeout{10};
 
 int Run(const daemon::SettingsText& file) {
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -129,6 +129,12 @@
   return healthy_ && !stopping_;
 }
 
+common::Time AgentCore::LatestDeadline() const {
+  common::Time latest;
+  for (const RunPtr& run : runs_.All()) latest = std::max(latest, run->deadline());
+  return latest;
+}
+
 bool AgentCore::IsAuthorized(const http::Request& request) const {
   return common::EqualConstantTime(http::FindHeader(request.headers, kCredentialHeader),
                                    options_.credential);
--- a/src/agent/agent_node.cc
+++ b/src/agent/agent_node.cc
@@ -1,5 +1,6 @@
 #include "briarwood/agent/agent_node.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -17,9 +18,14 @@
 namespace briarwood::agent {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{250};
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{250};
+// Time after its deadline in which a run ends and its last event is delivered.
+constexpr std::chrono::seconds kDeadlineGracePeriod{3};
+constexpr milliseconds kDrainCheckInterval{1000};
 // Interrupted streams are resumed after the crash report, so its duration is bounded.
-constexpr std::chrono::milliseconds kCrashReportTimeout{1000};
+constexpr milliseconds kCrashReportTimeout{1000};
 // Run requests are JSON documents that contain the body of the caller's request in base64.
 constexpr std::size_t kMaxRunRequestBytes = std::size_t{24} * 1024 * 1024;
 
@@ -122,10 +128,17 @@
   [[nodiscard]] observability::Metrics& metrics() noexcept { return *metrics_; }
   [[nodiscard]] const impl::AgentCore& core() const noexcept { return *core_; }
 
-  bool Drain(std::chrono::milliseconds drain_timeout) {
+  bool Drain(milliseconds drain_timeout) {
     core_->SetStopping();
     sync_client_.SyncNow();
-    return http_server_->WaitIdle(drain_timeout);
+    const common::Time end = common::BootClock::now() + drain_timeout;
+    for (;;) {
+      const common::Time limit = std::max(end, core_->LatestDeadline() + kDeadlineGracePeriod);
+      const auto remaining =
+          std::chrono::duration_cast<milliseconds>(limit - common::BootClock::now());
+      if (remaining <= milliseconds(0)) return false;
+      if (http_server_->WaitIdle(std::min(remaining, kDrainCheckInterval))) return true;
+    }
   }
 
  private:
--- a/src/agent/impl/agent_core.h
+++ b/src/agent/impl/agent_core.h
@@ -51,6 +51,8 @@
   /// entry need not estimate how many of the running requests are its own.
   [[nodiscard]] schema::LoadReport LoadFor(const Run& run) const;
   [[nodiscard]] bool Ready() const;
+  /// \returns the latest deadline of the runs; the epoch if there are none.
+  [[nodiscard]] common::Time LatestDeadline() const;
 
  private:
   using ExchangePtr = std::shared_ptr<http::Exchange>;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -428,6 +428,14 @@
   RequestDispatch();
 }
 
+common::Time EntryCore::LatestDeadline() const {
+  common::Time latest;
+  for (const LiveTable::RequestPtr& request : requests_.All()) {
+    latest = std::max(latest, request->plan().deadline);
+  }
+  return latest;
+}
+
 std::set<std::string> EntryCore::TakeUsedAgents() {
   const std::lock_guard lock(mutex_);
   return std::exchange(used_agents_, {});
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -29,6 +29,9 @@
 constexpr unsigned kProposerThreads = 16;
 constexpr unsigned kRpcThreads = 8;
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
+// Time after its deadline in which a request ends and, for a call, its outcome is committed.
+constexpr std::chrono::seconds kDeadlineGracePeriod{3};
+constexpr std::chrono::milliseconds kDeliveryTimeout{5000};
 constexpr std::chrono::seconds kUsageFlushTimeout{5};
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{300};
 
@@ -126,12 +129,13 @@
     core_->SetStopping();
     const common::Time end = common::BootClock::now() + drain_timeout;
     while (core_->in_flight() != 0) {
-      if (common::BootClock::now() >= end) return false;
+      const common::Time limit = std::max(end, core_->LatestDeadline() + kDeadlineGracePeriod);
+      if (common::BootClock::now() >= limit) return false;
       std::this_thread::sleep_for(kDrainPollInterval);
     }
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(end - common::BootClock::now());
-    if (!http_server_->WaitIdle(std::max(remaining, kDrainPollInterval))) return false;
+    if (!http_server_->WaitIdle(std::max(remaining, kDeliveryTimeout))) return false;
     // If the flush fails, the agents report the records, which they hold as well.
     if (!usage_->Flush(kUsageFlushTimeout)) log_.Warn("Agents will report uncommitted usage.");
     return true;
--- a/src/entry/impl/entry_core.h
+++ b/src/entry/impl/entry_core.h
@@ -54,6 +54,8 @@
 
   [[nodiscard]] bool Ready() const;
   [[nodiscard]] std::size_t in_flight() const { return requests_.size(); }
+  /// \returns the latest deadline of the requests in flight; the epoch if there are none.
+  [[nodiscard]] common::Time LatestDeadline() const;
   /// \returns the RPC addresses of the agents that were used since the previous call.
   [[nodiscard]] std::set<std::string> TakeUsedAgents();
   void RecordUsedAgent(const std::string& rpc_address);
--- a/tests/entry/whole_path_test.cc
+++ b/tests/entry/whole_path_test.cc
@@ -123,5 +123,25 @@
   EXPECT_NE(response.find("booked"), std::string::npos) << response;
 }
 
+// Guards against a planned stop that ends while a request still has time until its deadline.
+TEST(WholePathTest, StopWaitsForRequestsUntilTheirDeadlines) {
+  TestFleet fleet;
+  ScriptedBackend engine({.hold_before = 2});
+  EntryNode& entry = fleet.AddEntry();
+  agent::AgentNode& agent = fleet.AddEngine("engine-1", engine);
+  fleet.Configure();
+  RawCall call(entry.port(), MakePost("/v1/completions", kPrompt));
+  ASSERT_TRUE(call.WaitFor("t1 "));
+  std::thread release([&engine] {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    engine.Release();
+  });
+  std::thread stop([&agent] { EXPECT_TRUE(agent.Drain(std::chrono::milliseconds(200))); });
+  EXPECT_TRUE(entry.Drain(std::chrono::milliseconds(200)));
+  release.join();
+  stop.join();
+  EXPECT_NE(call.Finish().find("[DONE]"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace briarwood::entry
