Deliver a response that ends its connection to a peer that has sent more

What callers saw: a caller that sends its next request before it has the whole response lost the end of the response if the connection was to be closed after it, as every connection is at a planned stop.

Cause: closing with unread input resets the connection, and the kernel drops what it has not delivered.

Ruled out: a further request that is read together with the first one, which leaves nothing unread.

Change: as after a response that ends a connection early, input is read and discarded first, for up to 500 ms.

--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -23,7 +23,7 @@
 
 namespace {
 
-/// Time for which input is read and discarded after a response that ends a connection early.
+/// Time for which input is read and discarded after a response that ends a connection.
 /// Closing with unread input resets the connection, and the peer may not receive the response.
 constexpr std::chrono::milliseconds kLingerTimeout{500};
 /// Largest read buffer that an idle connection keeps for its next request.
@@ -545,21 +545,20 @@
 
 void IncomingConnection::AfterResponse() {
   EndRequest();
-  if (discard_input_after_response_) {
-    ErrorCode ignored;
+  if (!close_after_response_) {
+    AwaitRequest();
+    return;
+  }
+  SetResetOnClose(false);
+  ErrorCode ignored;
+  if (discard_input_after_response_ || HasInput()) {
     socket_.shutdown(Socket::shutdown_send, ignored);
     SetTimer(kLingerTimeout, [this] { Close(); });
     DiscardInput();
     return;
   }
-  if (close_after_response_) {
-    SetResetOnClose(false);
-    ErrorCode ignored;
-    socket_.shutdown(Socket::shutdown_both, ignored);
-    Close();
-    return;
-  }
-  AwaitRequest();
+  socket_.shutdown(Socket::shutdown_both, ignored);
+  Close();
 }
 
 void IncomingConnection::DiscardInput() {
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -339,5 +339,21 @@
   ::close(peer);
 }
 
+// Guards against a response whose end is lost because a further request on its connection, which is
+// to be closed after it, was not read.
+TEST_F(IncomingDisconnectTest, DeliversAResponseToAPeerThatSendsAFurtherRequest) {
+  const int peer = ConnectWithoutReading(server_->port(), kRequest);
+  RunUntil([this] { return request_ != nullptr; });
+  const std::string further = "GET /y HTTP/1.1\r\nHost: h\r\n\r\n";
+  ASSERT_EQ(::send(peer, further.data(), further.size(), 0), static_cast<ssize_t>(further.size()));
+  RunFor(milliseconds(20));
+  request_->Write(std::string(std::size_t{256} * 1024, 'x'));
+  request_->EndStream();
+  RunFor(milliseconds(20));
+  EXPECT_TRUE(EndsInOrder(peer));
+  RunUntil([this] { return server_->connections() == 0; });
+  ::close(peer);
+}
+
 }  // namespace
 }  // namespace briarwood::http
