--- a/tests/routing/scheduler_test.cc
+++ b/tests/routing/scheduler_test.cc
@@ -170,6 +170,51 @@
   EXPECT_DOUBLE_EQ(scheduler.VirtualTokens(first->request.class_id, first->request.customer), paid);
 }
 
+// Guards against a request that was preempted or interrupted before its first token and is dropped
+// as late at once, although its caller still waits for the answer.
+TEST(SchedulerTest, InterruptedRequestWithoutATokenIsDroppedOnlyAtItsDeadline) {
+  Scheduler scheduler = Make({Policy("question", 0)});
+  const QueuedRequest request = Request(1, "question", "a");
+  ASSERT_TRUE(scheduler.Enqueue(request, kStart).empty());
+  ASSERT_TRUE(scheduler.PickNext(kStart).has_value());
+  scheduler.Requeue(request.id, 0);
+  scheduler.DropLate(kStart + seconds(6));
+  EXPECT_TRUE(scheduler.TakeDropped().empty());
+  EXPECT_TRUE(scheduler.PickNext(kStart + seconds(6)).has_value());
+  scheduler.Requeue(request.id, 0);
+  scheduler.DropLate(kStart + seconds(600));
+  const auto dropped = scheduler.TakeDropped();
+  ASSERT_EQ(dropped.size(), 1U);
+  EXPECT_EQ(dropped[0].reason, DropReason::kDeadline);
+}
+
+// Guards against a full queue that drops a request which waits for its next attempt, so that an
+// answer that has begun is lost, instead of one that has not run.
+TEST(SchedulerTest, FullQueueShedsInterruptedRequestsLast) {
+  ClassPolicy policy = Policy("question", 0);
+  policy.queue_limit = 2;
+  Scheduler scheduler = Make({policy});
+  QueuedRequest interrupted = Request(1, "question", "a");
+  interrupted.interruptions = 1;
+  ASSERT_TRUE(scheduler.Enqueue(Request(2, "question", "a"), kStart).empty());
+  ASSERT_TRUE(scheduler.Enqueue(Request(3, "question", "a"), kStart).empty());
+  auto shed = scheduler.Enqueue(interrupted, kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(3, "question", "a").id);
+  QueuedRequest second = Request(4, "question", "b");
+  second.interruptions = 1;
+  shed = scheduler.Enqueue(second, kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(2, "question", "a").id);
+  shed = scheduler.Enqueue(Request(5, "question", "b"), kStart);
+  ASSERT_EQ(shed.size(), 1U);
+  EXPECT_EQ(shed[0].request.id, Request(5, "question", "b").id);
+  QueuedRequest third = Request(6, "question", "b");
+  third.interruptions = 1;
+  EXPECT_EQ(scheduler.Enqueue(third, kStart).size(), 1U);
+  EXPECT_EQ(scheduler.queued(), 2U);
+}
+
 // Guards against an interrupted stream that is dropped at once, because the limit of its time in
 // the queue counts from its arrival and has passed while it ran.
 TEST(SchedulerTest, RequeuedRequestWaitsUntilItsNewDeadline) {
