--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -106,9 +106,16 @@
   /// Starts the entry. List assigns service "app" to backend servers whose names start with "a" and
   /// "llm" to the others.
   void StartEntry() {
+    node_ = MakeEntry("entry/vm-1", 7);
+    ASSERT_NE(node_, nullptr);
+  }
+
+  /// Starts an entry with the list and the control member that all entries of a test share.
+  /// \returns the entry, or null after a failure.
+  std::unique_ptr<ForwardingNode> MakeEntry(const std::string& id, std::uint64_t incarnation) {
     ForwardingNodeOptions options;
     schema::EntrySettings& settings = options.settings;
-    settings.mutable_node()->set_id("entry/vm-1");
+    settings.mutable_node()->set_id(id);
     settings.mutable_node()->set_failure_domain("east");
     settings.mutable_node()->set_rpc_listen("127.0.0.1:0");
     settings.set_listen("127.0.0.1:0");
@@ -118,7 +125,7 @@
     settings.mutable_forwarding()->set_repeat_burst(640);
     settings.mutable_forwarding()->set_list_stale_ms(50);
     options.credential = testing_support::kFleetCredential;
-    options.incarnation = common::Incarnation(7);
+    options.incarnation = common::Incarnation(incarnation);
     options.codec = platform::MakeCodec();
     options.read_backends = [this] {
       const std::lock_guard lock(list_mutex_);
@@ -127,8 +134,8 @@
       return common::Result<schema::BackendList>::Success(std::move(list));
     };
     auto node = ForwardingNode::Start(std::move(options));
-    ASSERT_TRUE(node.ok()) << node.error();
-    node_ = std::move(node).value();
+    EXPECT_TRUE(node.ok()) << node.error();
+    return node.ok() ? std::move(node).value() : nullptr;
   }
 
   void StartReadyEntry() {
