Log the shared prompt parts of a failed attempt and whether it had begun

Operators could not tell from the logs whether the requests under which servers crashed shared a part of their prompts, or whether the server had already begun its response: attempt_failed named neither. Whether the retries of one request or ever new requests carry the crash could be told from the attempt numbers only. attempt_failed now has began and parts, the latter without the last part, which no other request shares, and cut at 200 bytes since callers choose the ids. Parts are hashes, so the rule that prompts are not logged holds.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -73,6 +73,9 @@
 /// Weight of a first event as an indication of load, relative to that of a gap between events.
 constexpr double kFirstEventWeight = 4;
 
+/// Length of the ids of prompt parts in one log line; callers choose them.
+constexpr std::size_t kMaxLoggedPartBytes = 200;
+
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kMisdirected = 421;
@@ -80,6 +83,16 @@
 constexpr std::uint16_t kUnavailable = 503;
 constexpr std::uint16_t kGatewayTimeout = 504;
 
+/// \returns the ids of the parts that other requests may share, as far as a log line has room.
+std::string SharedParts(const std::vector<PromptPart>& parts) {
+  std::string text;
+  for (std::size_t i = 0; i + 1 < parts.size() && text.size() < kMaxLoggedPartBytes; ++i) {
+    if (!text.empty()) text += ',';
+    text += parts[i].id.substr(0, kMaxLoggedPartBytes);
+  }
+  return text;
+}
+
 bool IsSuccess(std::uint16_t status) { return status >= 200 && status < 300; }
 bool IsServerError(std::uint16_t status) { return status >= 500; }
 
@@ -535,6 +548,8 @@
                        .Add("attempt", sent_attempts_)
                        .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
                        .Add("status", attempt_->has_head ? attempt_->head.status : 0)
+                       .Add("began", attempt_->has_progress)
+                       .Add("parts", SharedParts(facts_.prompt_parts))
                        .text());
   attempt_->connection->Close();
   ReleaseAttempt(AttemptResult::kFailure);
