Merge the evidence against prompt parts in the control log

Callers lost sound requests because a prompt part crashed server after server while each entry saw one or two of the crashes.

A part is held from three independent crashes: each of another server, of an attempt sent after the crash before. So servers that crash together count once, and so does one server that fails a share of its requests. A sound start clears a part. Trials are granted to one request of the fleet, 30 s after the last crash and then after twice that. Candidates expire after 60 s, held parts after an hour; at most 256 parts are kept and a held one never yields.

Nothing reports evidence yet.

--- a/include/briarwood/control/control_state.h
+++ b/include/briarwood/control/control_state.h
@@ -16,6 +16,7 @@
 #include "briarwood/control/order_table.h"
 #include "briarwood/control/suspect_registry.h"
 #include "briarwood/distribution/row_table.h"
+#include "briarwood/routing/prompt_part_table.h"
 #include "briarwood/usage/usage_windows.h"
 #include "control.pb.h"
 #include "state.pb.h"
@@ -57,6 +58,9 @@
   [[nodiscard]] const OperatorRecords& records() const noexcept { return records_; }
   [[nodiscard]] const ClaimTable& claims() const noexcept { return claims_; }
   [[nodiscard]] const usage::UsageWindows& usage() const noexcept { return usage_; }
+  [[nodiscard]] const routing::PromptPartTable& prompt_parts() const noexcept {
+    return prompt_parts_;
+  }
   [[nodiscard]] std::vector<KeyInfo> Keys() const;
 
   /// \returns the result of parsing and checking the content without applying it.
@@ -74,6 +78,12 @@
   schema::CommandResult Drain(const schema::DrainBackend& command, common::LogIndex index);
   schema::CommandResult DeclareDead(const schema::DeclareDead& command, common::LogIndex index);
   schema::CommandResult RecordAction(const schema::RecordAction& command, common::LogIndex index);
+  schema::CommandResult RecordPartEvidence(const schema::RecordPartEvidence& command,
+                                           common::LogIndex index);
+  schema::CommandResult BeginPartTrial(const schema::BeginPartTrial& command,
+                                       common::LogIndex index);
+  schema::CommandResult ClearPromptPart(const schema::ClearPromptPart& command,
+                                        common::LogIndex index);
   /// Applies an operator's command unless its operation id was used before, and records it.
   template <typename Message, typename Function>
   schema::CommandResult ApplyOnce(const Message& command, const std::string& action,
@@ -86,12 +96,14 @@
   [[nodiscard]] Problems CheckKeyOwners(const schema::Configuration& merged) const;
   void PublishConfiguration(common::LogIndex index);
   void PublishSuspects(common::LogIndex index);
+  void PublishPromptParts(common::LogIndex index);
 
   distribution::RowTable table_;
   Documents documents_;
   OperatorRecords records_;
   ClaimTable claims_;
   SuspectRegistry suspects_;
+  routing::PromptPartTable prompt_parts_;
   OrderTable orders_;
   usage::UsageWindows usage_;
   common::LogIndex applied_index_;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -63,6 +63,12 @@
       return function(*command.mutable_declare_dead());
     case schema::Command::kRecordAction:
       return function(*command.mutable_record_action());
+    case schema::Command::kRecordPartEvidence:
+      return function(*command.mutable_record_part_evidence());
+    case schema::Command::kBeginPartTrial:
+      return function(*command.mutable_begin_part_trial());
+    case schema::Command::kClearPromptPart:
+      return function(*command.mutable_clear_prompt_part());
     case schema::Command::kRecordReceipt:
     case schema::Command::kRecordOrderOutcome:
     case schema::Command::BODY_NOT_SET:
@@ -98,6 +104,7 @@
   AdvanceClock(Timestamp(command));
   schema::CommandResult result = Dispatch(index, command);
   PublishSuspects(index);
+  PublishPromptParts(index);
   table_.TrimTombstones(kMaxTombstones);
   return result;
 }
@@ -107,6 +114,7 @@
   clock_unix_ms_ = now_unix_ms;
   claims_.Expire(clock_unix_ms_);
   suspects_.Expire(clock_unix_ms_);
+  prompt_parts_.Expire(clock_unix_ms_);
 }
 
 schema::CommandResult ControlState::Dispatch(common::LogIndex index,
@@ -144,6 +152,12 @@
       return DeclareDead(command.declare_dead(), index);
     case schema::Command::kRecordAction:
       return RecordAction(command.record_action(), index);
+    case schema::Command::kRecordPartEvidence:
+      return RecordPartEvidence(command.record_part_evidence(), index);
+    case schema::Command::kBeginPartTrial:
+      return BeginPartTrial(command.begin_part_trial(), index);
+    case schema::Command::kClearPromptPart:
+      return ClearPromptPart(command.clear_prompt_part(), index);
     default:
       return MakeResult(schema::RESULT_CODE_INVALID, index, "unknown command");
   }
@@ -308,6 +322,47 @@
   return impl::Ok(index);
 }
 
+schema::CommandResult ControlState::RecordPartEvidence(const schema::RecordPartEvidence& command,
+                                                       common::LogIndex index) {
+  for (schema::PromptPartCrash crash : command.crashes()) {
+    // A crash in the future would rule out that later ones count.
+    crash.set_ended_unix_ms(std::min(crash.ended_unix_ms(), clock_unix_ms_));
+    prompt_parts_.RecordCrash(crash);
+  }
+  for (const std::string& part : command.sound_parts()) prompt_parts_.Clear(part);
+  return impl::Ok(index);
+}
+
+schema::CommandResult ControlState::BeginPartTrial(const schema::BeginPartTrial& command,
+                                                   common::LogIndex index) {
+  if (prompt_parts_.BeginTrial(command, clock_unix_ms_) == routing::PromptPartTrial::kGranted) {
+    return impl::Ok(index);
+  }
+  return MakeResult(schema::RESULT_CODE_REFUSED, index, "no trial is due");
+}
+
+schema::CommandResult ControlState::ClearPromptPart(const schema::ClearPromptPart& command,
+                                                    common::LogIndex index) {
+  return ApplyOnce(command, "clear_prompt_part", command.part(), index, [&] {
+    if (!prompt_parts_.Clear(command.part())) {
+      return MakeResult(schema::RESULT_CODE_NOT_FOUND, index,
+                        "no evidence against prompt part \"" + command.part() + "\"");
+    }
+    return impl::Ok(index);
+  });
+}
+
+void ControlState::PublishPromptParts(common::LogIndex index) {
+  for (const std::string& part : prompt_parts_.TakeChanged()) {
+    const schema::PromptPart* evidence = prompt_parts_.Find(part);
+    if (evidence == nullptr) {
+      table_.Erase(schema::ROW_KIND_PROMPT_PART, part, index);
+    } else {
+      table_.Put(schema::ROW_KIND_PROMPT_PART, part, evidence->SerializeAsString(), index);
+    }
+  }
+}
+
 void ControlState::PublishSuspects(common::LogIndex index) {
   for (const common::Digest128& fingerprint : suspects_.TakeChanged()) {
     const schema::SuspectState* suspect = suspects_.Find(fingerprint);
@@ -354,6 +409,7 @@
   records_.Save(snapshot);
   claims_.Save(*snapshot.mutable_claims());
   *snapshot.mutable_suspects() = suspects_.Save();
+  *snapshot.mutable_prompt_parts() = prompt_parts_.Save();
   *snapshot.mutable_orders() = orders_.Save();
   snapshot.set_usage(usage_.Serialize().SerializeAsString());
   return snapshot.SerializeAsString();
@@ -375,6 +431,7 @@
   state.records_.Restore(snapshot);
   state.claims_.Restore(snapshot.claims());
   state.suspects_.Restore(snapshot.suspects());
+  state.prompt_parts_.Restore(snapshot.prompt_parts());
   state.orders_.Restore(snapshot.orders());
   schema::UsageSnapshot usage;
   if (!usage.ParseFromString(snapshot.usage())) {
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "briarwood/common/random.h"
 #include "control/control_state_fixture.h"
 
@@ -186,6 +188,96 @@
   EXPECT_EQ(Code(Trial(4, 102 + SuspectRegistry::kExpiryMs)), schema::RESULT_CODE_OK);
 }
 
+schema::Command PartEvidence(const std::vector<std::string>& servers, std::uint64_t ended,
+                             const std::vector<std::string>& sound = {}) {
+  schema::Command command;
+  schema::RecordPartEvidence& evidence = *command.mutable_record_part_evidence();
+  for (const std::string& server : servers) {
+    schema::PromptPartCrash& crash = *evidence.add_crashes();
+    crash.add_parts("bad");
+    crash.add_parts("shared");
+    crash.set_backend_server(server);
+    crash.set_backend_servers(8);
+    crash.set_sent_unix_ms(ended - 500);
+    crash.set_ended_unix_ms(ended);
+  }
+  for (const std::string& part : sound) evidence.add_sound_parts(part);
+  evidence.set_now_unix_ms(ended);
+  return command;
+}
+
+schema::Command PartTrial(std::uint64_t sequence, std::uint64_t now) {
+  schema::Command command;
+  command.mutable_begin_part_trial()->add_parts("bad");
+  command.mutable_begin_part_trial()->set_entry_incarnation(1);
+  command.mutable_begin_part_trial()->set_sequence(sequence);
+  command.mutable_begin_part_trial()->set_now_unix_ms(now);
+  return command;
+}
+
+std::optional<schema::PromptPart> PublishedPart(const ControlState& state,
+                                                const std::string& part) {
+  const schema::Row* row = state.table().Find(schema::ROW_KIND_PROMPT_PART, part);
+  schema::PromptPart evidence;
+  if (row == nullptr || !evidence.ParseFromString(row->value())) return std::nullopt;
+  return evidence;
+}
+
+// Guards against evidence of several entries that is not merged or not published, and that is lost
+// when a member restarts or another one leads.
+TEST_F(ControlStateTest, MergesAndPublishesTheEvidenceAgainstPromptParts) {
+  EXPECT_EQ(Code(PartEvidence({"s1"}, 10'000)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(PartEvidence({"s1"}, 10'100, {"shared"})), schema::RESULT_CODE_OK);
+  EXPECT_FALSE(PublishedPart(log_.state(), "shared"));
+  log_.RestoreFromSnapshot();
+  EXPECT_EQ(Code(PartEvidence({"s2"}, 20'000, {"shared"})), schema::RESULT_CODE_OK);
+  ASSERT_TRUE(PublishedPart(log_.state(), "bad"));
+  EXPECT_FALSE(PublishedPart(log_.state(), "bad")->held());
+  log_.RestoreFromSnapshot();
+  EXPECT_EQ(Code(PartEvidence({"s3"}, 30'000, {"shared"})), schema::RESULT_CODE_OK);
+  EXPECT_TRUE(PublishedPart(log_.state(), "bad")->held());
+  EXPECT_EQ(Code(PartTrial(1, 59'999)), schema::RESULT_CODE_REFUSED);
+  EXPECT_EQ(Code(PartTrial(2, 60'000)), schema::RESULT_CODE_OK);
+  log_.RestoreFromSnapshot();
+  EXPECT_EQ(Code(PartTrial(2, 60'100)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(PartTrial(3, 60'200)), schema::RESULT_CODE_REFUSED);
+  EXPECT_EQ(Code(PartEvidence({}, 61'000, {"bad"})), schema::RESULT_CODE_OK);
+  EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
+}
+
+// Guards against an entry whose clock is ahead and whose report keeps all later crashes from
+// counting.
+TEST_F(ControlStateTest, PromptPartCrashIsNotInTheFuture) {
+  schema::Command command = PartEvidence({"s1"}, 900'000);
+  command.mutable_record_part_evidence()->set_now_unix_ms(10'000);
+  EXPECT_EQ(Code(command), schema::RESULT_CODE_OK);
+  EXPECT_EQ(PublishedPart(log_.state(), "bad")->last_crash_unix_ms(), 10'000U);
+}
+
+// Guards against rows of expired evidence that stay published.
+TEST_F(ControlStateTest, ExpiredPromptPartIsRemoved) {
+  EXPECT_EQ(Code(PartEvidence({"s1"}, 10'000)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(PartTrial(1, 70'000)), schema::RESULT_CODE_OK);
+  EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
+}
+
+// Guards against a part that no operator can release, and against a release without an audit
+// record.
+TEST_F(ControlStateTest, OperatorClearsAPromptPart) {
+  Code(PartEvidence({"s1"}, 10'000));
+  schema::Command clear;
+  clear.mutable_clear_prompt_part()->set_part("bad");
+  clear.mutable_clear_prompt_part()->set_operation_id("op");
+  clear.mutable_clear_prompt_part()->set_operator_name("ann");
+  EXPECT_EQ(Code(clear), schema::RESULT_CODE_OK);
+  EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
+  EXPECT_EQ(Code(clear), schema::RESULT_CODE_OK);
+  clear.mutable_clear_prompt_part()->set_operation_id("op2");
+  EXPECT_EQ(Code(clear), schema::RESULT_CODE_NOT_FOUND);
+  EXPECT_EQ(log_.state().records().audit().front().action(), "clear_prompt_part");
+  EXPECT_EQ(log_.state().records().audit().front().subject(), "bad");
+}
+
 // I11: guards against a drain that is not published, or that remains after its backend server was
 // removed.
 TEST_F(ControlStateTest, I11DrainIsPublishedWhileTheBackendServerExists) {
