Decide at an entry which prompts are held back

Adds the entry's side of the evidence against prompt parts, without a user yet. The guard takes the rows of the control members, the entry's own crashes and its sound starts, and answers whether a request may be sent, is the granted trial or is held back. Parts on which responses began soundly at this entry are no candidates until they are part of a crash, so that the parts that sound requests share are not held back with the one that crashes servers. After a second independent crash the request is not to be retried.

--- /dev/null
+++ b/include/briarwood/routing/prompt_part_guard.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "briarwood/common/ids.h"
+#include "briarwood/common/time.h"
+#include "briarwood/routing/prompt_part_table.h"
+
+namespace briarwood::routing {
+
+/// The request may be sent.
+struct PromptAllowed {};
+/// The request may be sent once, to find out whether its held parts still crash servers.
+struct PromptTrial {
+  std::vector<std::string> parts;
+};
+/// The request must not be sent.
+struct PromptHeld {
+  schema::PromptPart evidence;
+  std::chrono::milliseconds retry_after{0};
+};
+using PromptVerdict = std::variant<PromptAllowed, PromptTrial, PromptHeld>;
+
+/// What an entry concludes from a crash.
+struct CrashConclusion {
+  /// Parts that may have caused the crash, with the crashes known for each. Parts on which
+  /// responses began soundly are left out until they are part of a crash.
+  std::vector<std::pair<std::string, std::uint32_t>> candidates;
+  /// False if one of these parts was part of an earlier crash: a retry may crash the next server.
+  bool may_retry = true;
+};
+
+/// Decides at an entry which requests are held back because of a part of their prompt, and collects
+/// the evidence that the entry reports to the control members. While these are unreachable, its own
+/// evidence decides. Not thread-safe.
+class PromptPartGuard {
+ public:
+  explicit PromptPartGuard(PromptPartOptions options = {}) : own_(options) {}
+
+  /// \param agreed  agreed wall clock time at `at`
+  void SetAgreedTime(common::UnixMillis agreed, common::Time at) { agreed_ = {{agreed, at}}; }
+  /// Records that a control member has responded with a confirmed state.
+  void OnControlContact(common::Time now) { control_contact_ = now; }
+  /// Replaces the evidence of the fleet.
+  void SetRows(const std::vector<schema::PromptPart>& rows);
+
+  /// \param parts  parts of the prompt that other requests share
+  [[nodiscard]] PromptVerdict Check(const std::vector<std::string>& parts, common::Time now);
+
+  /// Records an attempt that its server ended before a sound start.
+  /// \param servers  number of servers of the service
+  CrashConclusion OnCrash(const std::vector<std::string>& parts, const std::string& server,
+                          std::uint32_t servers, common::Time sent_at, common::Time now);
+  /// Records that a server has begun a sound response.
+  /// \returns the parts against which there was evidence.
+  std::vector<std::string> OnSoundStart(const std::vector<std::string>& parts, common::Time now);
+
+  /// Removes the evidence that the control members have not received yet.
+  /// \returns nothing if there is none or while the agreed time is unknown.
+  [[nodiscard]] std::optional<schema::RecordPartEvidence> TakeReport(common::Time now);
+  /// Puts evidence back that has not reached the control members.
+  void PutBack(const schema::RecordPartEvidence& report, common::Time now);
+
+  /// \returns the parts of which a trial is due and for which a request has come since the last
+  /// call; empty if there are none.
+  [[nodiscard]] std::vector<std::string> TakeWantedTrial();
+  /// Allows the next request that has no held parts besides these.
+  void OnTrialGranted(const std::vector<std::string>& parts, common::Time now);
+
+  void Expire(common::Time now);
+
+ private:
+  /// What responses on a part showed at this entry.
+  struct History {
+    std::optional<common::Time> sound_at;
+    std::optional<common::Time> crash_at;
+    /// Before the crash.
+    bool was_sound = false;
+  };
+  using Histories = std::unordered_map<std::string, History>;
+
+  struct Grant {
+    std::set<std::string> parts;
+    common::Time ends_at;
+  };
+
+  [[nodiscard]] bool IsConnected(common::Time now) const;
+  [[nodiscard]] std::optional<std::uint64_t> AgreedMillis(common::Time at) const;
+  /// \returns the evidence for which the part is held, or null.
+  [[nodiscard]] const schema::PromptPart* FindHeld(const std::string& part, common::Time now) const;
+  [[nodiscard]] bool IsClearedHere(const std::string& part, common::Time now) const;
+  /// \returns the history of a part, which may be new.
+  [[nodiscard]] History& HistoryOf(const std::string& part, common::Time now);
+  /// \param sent_at  a sound start does not count after a crash of an attempt that was sent earlier
+  [[nodiscard]] static bool WasSound(const History& history, common::Time sent_at);
+  [[nodiscard]] std::chrono::milliseconds RetryAfter(const schema::PromptPart& evidence,
+                                                     common::Time now) const;
+
+  std::optional<std::pair<common::UnixMillis, common::Time>> agreed_;
+  std::optional<common::Time> control_contact_;
+  /// Evidence of the fleet, in agreed time.
+  std::map<std::string, schema::PromptPart> rows_;
+  /// Evidence of this entry, in milliseconds of the boot clock.
+  PromptPartTable own_;
+  /// Parts that were cleared here and whose rows may still be in force.
+  std::map<std::string, common::Time> cleared_;
+  /// Histories of the current and the previous period.
+  Histories histories_;
+  Histories previous_histories_;
+  common::Time period_started_at_;
+  /// Not reported yet; times of the boot clock.
+  std::vector<schema::PromptPartCrash> crashes_;
+  std::set<std::string> sound_parts_;
+  std::vector<std::string> wanted_trial_;
+  std::optional<Grant> grant_;
+};
+
+}  // namespace briarwood::routing
--- /dev/null
+++ b/tests/routing/prompt_part_guard_test.cc
@@ -0,0 +1,220 @@
+#include "briarwood/routing/prompt_part_guard.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace briarwood::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
+using ::testing::Pair;
+
+constexpr common::Time kStart{std::chrono::hours(1)};
+constexpr std::uint64_t kStartUnixMs = 1'700'000'000'000;
+const std::vector<std::string> kBad{"shared", "bad"};
+const std::vector<std::string> kSound{"shared"};
+
+bool IsAllowed(const PromptVerdict& verdict) {
+  return std::holds_alternative<PromptAllowed>(verdict);
+}
+bool IsHeld(const PromptVerdict& verdict) { return std::holds_alternative<PromptHeld>(verdict); }
+bool IsTrial(const PromptVerdict& verdict) { return std::holds_alternative<PromptTrial>(verdict); }
+
+schema::PromptPart Row(const std::string& part, std::uint32_t crashes, bool held) {
+  schema::PromptPart row;
+  row.set_part(part);
+  row.set_crashes(crashes);
+  row.set_held(held);
+  row.set_last_crash_unix_ms(kStartUnixMs);
+  row.set_next_trial_unix_ms(kStartUnixMs + 30'000);
+  row.set_expires_unix_ms(kStartUnixMs + 3'600'000);
+  return row;
+}
+
+class PromptPartGuardTest : public testing::Test {
+ protected:
+  PromptPartGuardTest() {
+    guard_.SetAgreedTime(common::UnixMillis(kStartUnixMs), kStart);
+    guard_.OnControlContact(kStart);
+  }
+
+  CrashConclusion Crash(const std::string& server, seconds at,
+                        const std::vector<std::string>& parts = kBad) {
+    const common::Time now = kStart + at;
+    return guard_.OnCrash(parts, server, 8, now - milliseconds(200), now);
+  }
+
+  PromptPartGuard guard_;
+};
+
+// Guards against requests with a part that other entries have proven to crash servers.
+TEST_F(PromptPartGuardTest, HoldsThePartsOfTheFleet) {
+  guard_.SetRows({Row("bad", 3, true), Row("other", 2, false)});
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart)));
+  EXPECT_TRUE(IsAllowed(guard_.Check(kSound, kStart)));
+  EXPECT_TRUE(IsAllowed(guard_.Check({"shared", "other"}, kStart)));
+  guard_.SetRows({});
+  EXPECT_TRUE(IsAllowed(guard_.Check(kBad, kStart)));
+}
+
+// Guards against an expired row that holds a part while no command moves the clock of the members.
+TEST_F(PromptPartGuardTest, IgnoresAnExpiredRow) {
+  guard_.SetRows({Row("bad", 3, true)});
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + std::chrono::minutes(59))));
+  EXPECT_TRUE(IsAllowed(guard_.Check(kBad, kStart + std::chrono::minutes(61))));
+}
+
+// Guards against one request that is carried from server to server by its retries.
+TEST_F(PromptPartGuardTest, AllowsNoRetryAfterAnIndependentCrash) {
+  EXPECT_TRUE(Crash("s1", seconds(1)).may_retry);
+  EXPECT_FALSE(Crash("s2", seconds(2)).may_retry);
+}
+
+// Guards against the same with the first crash at another entry.
+TEST_F(PromptPartGuardTest, AllowsNoRetryAfterACrashAtAnotherEntry) {
+  guard_.SetRows({Row("bad", 1, false)});
+  EXPECT_FALSE(Crash("s2", seconds(2)).may_retry);
+}
+
+// Guards against sound requests that are not retried after servers have crashed together, and
+// after failures of one faulty server.
+TEST_F(PromptPartGuardTest, AllowsRetriesAfterOneMassCrash) {
+  for (const char* server : {"s1", "s2", "s3", "s4"}) {
+    EXPECT_TRUE(Crash(server, seconds(1)).may_retry) << server;
+  }
+  EXPECT_TRUE(Crash("s1", seconds(3)).may_retry);
+  EXPECT_TRUE(IsAllowed(guard_.Check(kBad, kStart + seconds(3))));
+}
+
+// Guards against an entry without control members that sends request after request into a crash.
+TEST_F(PromptPartGuardTest, HoldsByItsOwnEvidenceWithoutControl) {
+  Crash("s1", seconds(10));
+  Crash("s2", seconds(11));
+  Crash("s3", seconds(12));
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + seconds(13))));
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + std::chrono::minutes(5))));
+  EXPECT_THAT(guard_.TakeWantedTrial(), IsEmpty());
+  guard_.OnSoundStart(kBad, kStart + std::chrono::minutes(5));
+  EXPECT_TRUE(IsAllowed(guard_.Check(kBad, kStart + std::chrono::minutes(5))));
+}
+
+// Guards against own evidence that outweighs the fleet's, which has cleared the part.
+TEST_F(PromptPartGuardTest, PrefersTheEvidenceOfTheFleet) {
+  Crash("s1", seconds(10));
+  Crash("s2", seconds(11));
+  Crash("s3", seconds(12));
+  guard_.OnControlContact(kStart + seconds(15));
+  guard_.SetRows({});
+  EXPECT_TRUE(IsAllowed(guard_.Check(kBad, kStart + seconds(15))));
+}
+
+// Guards against shared parts that become candidates with the part that crashes servers.
+TEST_F(PromptPartGuardTest, SoundPartsAreNoCandidates) {
+  guard_.OnSoundStart(kSound, kStart);
+  const CrashConclusion conclusion = Crash("s1", seconds(1));
+  EXPECT_THAT(conclusion.candidates, ElementsAre(Pair("bad", 0U)));
+  const auto report = guard_.TakeReport(kStart + seconds(1));
+  ASSERT_TRUE(report);
+  EXPECT_THAT(report->crashes(0).parts(), ElementsAre("bad"));
+}
+
+// Guards against a part that was sound once and is therefore never suspected again.
+TEST_F(PromptPartGuardTest, APartIsNotSoundAfterACrash) {
+  guard_.OnSoundStart(kBad, kStart);
+  EXPECT_THAT(Crash("s1", seconds(1)).candidates, IsEmpty());
+  guard_.OnSoundStart(kSound, kStart + seconds(2));
+  EXPECT_THAT(Crash("s2", seconds(3)).candidates, ElementsAre(Pair("bad", 0U)));
+  EXPECT_THAT(Crash("s3", seconds(4)).candidates, ElementsAre(Pair("shared", 0U), Pair("bad", 1U)));
+}
+
+// Guards against one crash with many requests in progress, the first of which makes the sound parts
+// of the others candidates.
+TEST_F(PromptPartGuardTest, SoundPartsAreNoCandidatesOfOneCrash) {
+  guard_.OnSoundStart(kSound, kStart);
+  EXPECT_THAT(Crash("s1", seconds(1), kSound).candidates, IsEmpty());
+  EXPECT_THAT(Crash("s1", seconds(1), kSound).candidates, IsEmpty());
+  EXPECT_TRUE(Crash("s1", seconds(1), kSound).may_retry);
+  EXPECT_FALSE(guard_.TakeReport(kStart + seconds(1)));
+}
+
+// Guards against a held shared part that stays held at this entry until the row is removed, and
+// against a report for each event of each stream.
+TEST_F(PromptPartGuardTest, ClearsASoundPartAtOnceAndReportsItOnce) {
+  guard_.SetRows({Row("shared", 3, true)});
+  EXPECT_TRUE(IsHeld(guard_.Check(kSound, kStart)));
+  EXPECT_THAT(guard_.OnSoundStart(kSound, kStart), ElementsAre("shared"));
+  EXPECT_TRUE(IsAllowed(guard_.Check(kSound, kStart)));
+  EXPECT_THAT(guard_.OnSoundStart(kSound, kStart + milliseconds(100)), IsEmpty());
+  const auto report = guard_.TakeReport(kStart);
+  ASSERT_TRUE(report);
+  EXPECT_THAT(report->sound_parts(), ElementsAre("shared"));
+  EXPECT_FALSE(guard_.TakeReport(kStart));
+}
+
+// Guards against reports about parts without evidence, which would flood the log.
+TEST_F(PromptPartGuardTest, ReportsNothingInNormalOperation) {
+  guard_.OnSoundStart(kSound, kStart);
+  EXPECT_FALSE(guard_.TakeReport(kStart));
+}
+
+// Guards against reports with times of the boot clock of one machine.
+TEST_F(PromptPartGuardTest, ReportsInAgreedTimeAndAgainAfterAFailure) {
+  Crash("s1", seconds(1));
+  const auto report = guard_.TakeReport(kStart + seconds(2));
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->crashes(0).sent_unix_ms(), kStartUnixMs + 800);
+  EXPECT_EQ(report->crashes(0).ended_unix_ms(), kStartUnixMs + 1000);
+  guard_.PutBack(*report, kStart + seconds(3));
+  const auto again = guard_.TakeReport(kStart + seconds(4));
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->SerializeAsString(), report->SerializeAsString());
+  guard_.PutBack(*again, kStart + seconds(20));
+  EXPECT_FALSE(guard_.TakeReport(kStart + seconds(20)));
+}
+
+// Guards against a held part that is never tried again, and against more than one request per
+// granted trial.
+TEST_F(PromptPartGuardTest, SendsOneRequestPerGrantedTrial) {
+  guard_.SetRows({Row("bad", 3, true)});
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + seconds(29))));
+  EXPECT_THAT(guard_.TakeWantedTrial(), IsEmpty());
+  const common::Time due = kStart + seconds(30);
+  guard_.OnControlContact(due);
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, due)));
+  EXPECT_THAT(guard_.TakeWantedTrial(), ElementsAre("bad"));
+  guard_.OnTrialGranted({"bad"}, due);
+  EXPECT_TRUE(IsTrial(guard_.Check(kBad, due)));
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, due)));
+}
+
+// Guards against a trial that is used long after its grant, when another may have been granted.
+TEST_F(PromptPartGuardTest, AGrantLapses) {
+  guard_.SetRows({Row("bad", 3, true)});
+  guard_.OnTrialGranted({"bad"}, kStart);
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + seconds(6))));
+}
+
+// Guards against a trial of one held part with a request that has another one.
+TEST_F(PromptPartGuardTest, AGrantCoversNoOtherPart) {
+  guard_.SetRows({Row("bad", 3, true), Row("worse", 3, true)});
+  guard_.OnTrialGranted({"bad"}, kStart);
+  EXPECT_TRUE(IsHeld(guard_.Check({"bad", "worse"}, kStart)));
+  EXPECT_TRUE(IsTrial(guard_.Check({"bad"}, kStart)));
+}
+
+// Guards against callers that are told to wait for minutes or to retry at once.
+TEST_F(PromptPartGuardTest, LimitsRetryAfter) {
+  guard_.SetRows({Row("bad", 3, true)});
+  const auto retry_after = [&](common::Time now) {
+    return std::get<PromptHeld>(guard_.Check(kBad, now)).retry_after;
+  };
+  EXPECT_EQ(retry_after(kStart), seconds(3));
+  EXPECT_EQ(retry_after(kStart + milliseconds(28'500)), milliseconds(1500));
+  EXPECT_EQ(retry_after(kStart + seconds(60)), milliseconds(300));
+}
+
+}  // namespace
+}  // namespace briarwood::routing
