Let operators list and clear prompt parts

An operator had no way to see under which prompt parts servers crashed, or to release a part that is held wrongly or whose engine has been repaired. GET /v1/prompt-parts lists the evidence with its servers and the next trial, DELETE /v1/prompt-parts/{id} removes it with an audit record, and briarwoodctl has prompt-part list and prompt-part clear.

--- a/src/cli/ctl_commands.cc
+++ b/src/cli/ctl_commands.cc
@@ -32,6 +32,8 @@
     RunKeyCommand(command);
   } else if (group == "backend") {
     RunBackendCommand(command);
+  } else if (group == "prompt-part") {
+    RunPromptPartCommand(command);
   } else if (group == "member") {
     RunMemberCommand(command);
   } else if (group == "vm" && command == "list") {
@@ -76,6 +78,12 @@
   ThrowUnknownCommand("backend " + command);
 }
 
+void CtlCommands::RunPromptPartCommand(const std::string& command) {
+  if (command == "list") return ListPromptParts();
+  if (command == "clear") return ClearPromptPart();
+  ThrowUnknownCommand("prompt-part " + command);
+}
+
 void CtlCommands::RunMemberCommand(const std::string& command) {
   if (command == "list") return ShowMembers();
   if (command == "add") return AddMember();
@@ -315,6 +323,33 @@
   WaitInForce(response.index());
 }
 
+void CtlCommands::ListPromptParts() {
+  schema::ListPromptPartsResponse response;
+  const std::string json = client_.Call("GET", "/v1/prompt-parts", nullptr, response);
+  Table table({"PROMPT PART", "HELD", "CRASHES", "LAST CRASH", "NEXT TRIAL", "BACKEND SERVERS"});
+  for (const schema::PromptPart& part : response.prompt_parts()) {
+    std::string servers;
+    for (const std::string& server : part.backend_servers()) {
+      servers += (servers.empty() ? "" : ",") + server;
+    }
+    table.Add({part.part(), YesNo(part.held()), Number(part.crashes()),
+               FormatTime(part.last_crash_unix_ms()),
+               part.held() ? FormatTime(part.next_trial_unix_ms()) : "-", servers});
+  }
+  Print(json, table.ToString());
+}
+
+void CtlCommands::ClearPromptPart() {
+  const std::string& part = Argument(2, "a prompt part");
+  schema::ClearPromptPartRequest request;
+  request.set_operation_id(OperationId());
+  schema::OperationResponse response;
+  Send("--operation-id " + request.operation_id(), "DELETE", "/v1/prompt-parts/" + EncodeUrl(part),
+       &request, response);
+  Print(json_, part + " is cleared at index " + Number(response.index()) + "\n");
+  WaitInForce(response.index());
+}
+
 void CtlCommands::PrintMembers(const schema::Membership& membership, const std::string& json) {
   Table table({"MEMBER", "RPC ADDRESS", "DOMAIN", "VOTER"});
   for (const schema::Member& member : membership.members()) {
--- a/src/control/admin_calls.cc
+++ b/src/control/admin_calls.cc
@@ -144,6 +144,7 @@
   if (name == "documents") return RunDocuments(call);
   if (name == "keys") return RunKeys(call);
   if (name == "backend-servers") return RunBackendServers(call);
+  if (name == "prompt-parts") return RunPromptParts(call);
   if (name == "members") return RunMembers(call);
   if (name == "usage") return RunUsage(call);
   if (list && name == "vms") return ListVms(call);
@@ -299,6 +300,24 @@
   ThrowUnknownCall(call);
 }
 
+std::string AdminCalls::RunPromptParts(const AdminCall& call) {
+  if (call.path.size() == 1 && call.method == "GET") return ListPromptParts();
+  if (call.path.size() == 2 && call.method == "DELETE") return ClearPromptPart(call.path[1], call);
+  ThrowUnknownCall(call);
+}
+
+std::string AdminCalls::ClearPromptPart(const std::string& part, const AdminCall& call) {
+  schema::ClearPromptPartRequest request;
+  FromJson(call.body, request);
+  RequireOperationId(request.operation_id());
+  schema::Command command;
+  schema::ClearPromptPart& clear = *command.mutable_clear_prompt_part();
+  clear.set_part(part);
+  clear.set_operation_id(request.operation_id());
+  clear.set_operator_name(call.operator_name);
+  return OperationResult(request.operation_id(), Commit(command));
+}
+
 std::string AdminCalls::Drain(const std::string& id, bool draining, const AdminCall& call) {
   schema::DrainRequest request;
   FromJson(call.body, request);
--- a/src/control/admin_views.cc
+++ b/src/control/admin_views.cc
@@ -120,6 +120,16 @@
   return ToJson(response);
 }
 
+std::string AdminCalls::ListPromptParts() const {
+  schema::ListPromptPartsResponse response;
+  backend_.ReadState([&](const ControlState& state) {
+    for (const auto& [part, evidence] : state.prompt_parts().parts()) {
+      *response.add_prompt_parts() = evidence;
+    }
+  });
+  return ToJson(response);
+}
+
 std::string AdminCalls::ListUsageWindows() const {
   schema::ListUsageWindowsResponse response;
   backend_.ReadState([&](const ControlState& state) {
--- a/tests/cli/briarwoodctl_test.cc
+++ b/tests/cli/briarwoodctl_test.cc
@@ -65,6 +65,7 @@
     if (name == "entry lags") return backend_.SetLagging(true);
     if (name == "entry catches up") return backend_.SetLagging(false);
     if (name == "a window closes") return CloseWindow();
+    if (name == "servers crash on a prompt part") return CrashServers();
     if (name == "operator is removed") {
       std::ofstream(folder_ / "operators") << "# nobody\n";
       return;
@@ -89,6 +90,21 @@
     EXPECT_EQ(backend_.Propose(close, {}).result().code(), schema::RESULT_CODE_OK);
   }
 
+  void CrashServers() {
+    constexpr std::uint64_t kStart = control::testing_support::FakeAdminBackend::kStartUnixMs;
+    for (const std::uint64_t second : {1, 2, 3}) {
+      schema::Command command;
+      schema::PromptPartCrash& crash = *command.mutable_record_part_evidence()->add_crashes();
+      crash.add_parts("5c1e07a2");
+      if (second == 3) crash.add_parts("91bd3f06");
+      crash.set_backend_server("i-" + std::to_string(second));
+      crash.set_backend_servers(8);
+      crash.set_sent_unix_ms(kStart + 1000 * second - 200);
+      crash.set_ended_unix_ms(kStart + 1000 * second);
+      EXPECT_EQ(backend_.Propose(command, {}).result().code(), schema::RESULT_CODE_OK);
+    }
+  }
+
   std::string RunLine(const std::string& line) {
     std::vector<std::string> arguments{"--admin",
                                        "http://127.0.0.1:" + std::to_string(api_->port()),
@@ -128,7 +144,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Golden, SessionTest,
                          testing::Values("ctl_apply", "ctl_conflict", "ctl_keys", "ctl_drain",
-                                         "ctl_members", "ctl_usage", "ctl_errors"),
+                                         "ctl_prompt_parts", "ctl_members", "ctl_usage",
+                                         "ctl_errors"),
                          [](const auto& parameter) { return parameter.param; });
 
 }  // namespace
