Hold back requests with a prompt part that crashes servers

The cause: the forwarding entry charged the failure of an attempt to the server and never to the request, so the next request with the part went to the next server, through any entry.

An attempt that its server broke off before two whole events is now evidence against the shared parts of its prompt. Entries report it to the control members, also sound starts, which clear a part at once, and reject requests with a held part (503 prompt_part_held with Retry-After) before they reach a server. After a second independent crash a request is not retried, nor does it run on two servers at once when one is silent. A held part is tried by one request of the fleet. Rows of prompt parts do not rebuild the routing table.

A request that lacks one of several parts held for the same crashes may try its part at once, so that a shared part without sound requests before does not stay held for 30 s.

--- a/include/briarwood/proposals/background_proposer.h
+++ b/include/briarwood/proposals/background_proposer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "briarwood/common/time.h"
@@ -31,6 +32,9 @@
   /// `deadline`; or, after Stop, on the calling thread with STATUS_NOT_LEADER.
   void Propose(schema::Command command, common::Time deadline, Callback done);
 
+  /// Replaces the control members that are called.
+  void SetMembers(std::vector<std::string> members) { proposer_.SetMembers(std::move(members)); }
+
   /// Waits for the proposals in progress; those in the queue end with STATUS_NOT_LEADER.
   void Stop();
 
--- a/include/briarwood/routing/prompt_part_guard.h
+++ b/include/briarwood/routing/prompt_part_guard.h
@@ -56,6 +56,10 @@
   /// \param parts  parts of the prompt that other requests share
   [[nodiscard]] PromptVerdict Check(const std::vector<std::string>& parts, common::Time now);
 
+  /// \returns true if a server has crashed under a request with one of the parts, so that the
+  /// request should not run on two servers at once.
+  [[nodiscard]] bool HasEvidence(const std::vector<std::string>& parts) const;
+
   /// Records an attempt that its server ended before a sound start.
   /// \param servers  number of servers of the service
   CrashConclusion OnCrash(const std::vector<std::string>& parts, const std::string& server,
--- a/include/briarwood/routing/prompt_part_table.h
+++ b/include/briarwood/routing/prompt_part_table.h
@@ -41,6 +41,13 @@
   [[nodiscard]] static bool IsIndependent(const schema::PromptPart& evidence,
                                           const schema::PromptPartCrash& crash);
 
+  /// \returns true if a request with `parts` may try the held part. Before its first regular trial
+  /// that is once so for a request that lacks another held part with the same crashes, as it shows
+  /// which of the two causes them.
+  [[nodiscard]] static bool IsTrialDue(const std::map<std::string, schema::PromptPart>& all,
+                                       const schema::PromptPart& evidence,
+                                       const std::vector<std::string>& parts, std::uint64_t now_ms);
+
   /// \returns the parts for which the crash counts.
   std::vector<std::string> RecordCrash(const schema::PromptPartCrash& crash);
   /// \returns false if there is no evidence against the part.
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -171,6 +171,10 @@
   return suspects;
 }
 
+std::vector<schema::PromptPart> Replica::PromptParts() const {
+  return ReadAll<schema::PromptPart>(schema::ROW_KIND_PROMPT_PART);
+}
+
 std::vector<common::Incarnation> Replica::DeadIncarnations() const {
   std::vector<common::Incarnation> incarnations;
   for (const schema::DeclareDead& dead :
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -76,6 +76,9 @@
 /// Weight of a first event as an indication of load, relative to that of a gap between events.
 constexpr double kFirstEventWeight = 4;
 
+/// A server that crashes when it begins to write an answer may still send the first event.
+constexpr std::uint64_t kSoundEvents = 2;
+constexpr std::string_view kHeldReason = "prompt_part_held";
 /// Length of the ids of prompt parts in one log line; callers choose them.
 constexpr std::size_t kMaxLoggedPartBytes = 200;
 
@@ -152,6 +155,9 @@
 void Exchange::Start() {
   facts_ = owner_.options_.codec.read_request(request_->head());
   last_event_ = facts_.last_event_id;
+  for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
+    shared_parts_.push_back(facts_.prompt_parts[i].id);
+  }
   const auto self = shared_from_this();
   request_->OnDisconnected([weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected();
@@ -188,7 +194,7 @@
   deadline_ = request_->arrived_at() + time_left;
   service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
-  return true;
+  return CheckPromptParts();
 }
 
 void Exchange::Hold() {
@@ -287,6 +293,12 @@
   const common::Time now = common::BootClock::now();
   if (queued_at_) queued_for_ += now - *queued_at_;
   queued_at_.reset();
+  if (!CheckPromptParts()) {
+    owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
+                              dispatch.picked.request.work);
+    owner_.placement_.OnNoVerdict(dispatch.choice.id);
+    return;
+  }
   state_ = State::kRunning;
   if (StartAttempt(dispatch.choice.id, dispatch.picked.tier, dispatch.picked.request.work, now)) {
     return;
@@ -372,6 +384,56 @@
   return silent_attempt_ && silent_attempt_->number == attempt;
 }
 
+bool Exchange::CheckPromptParts() {
+  if (is_trial_) return true;
+  const routing::PromptVerdict verdict =
+      owner_.prompt_parts_.Check(shared_parts_, common::BootClock::now());
+  if (std::holds_alternative<routing::PromptTrial>(verdict)) {
+    is_trial_ = true;
+    owner_.log_.Info(LogLine("prompt_part_trial")
+                         .Add("request", facts_.id)
+                         .Add("part", std::get<routing::PromptTrial>(verdict).parts.front())
+                         .text());
+    owner_.metrics_.CountEvent("prompt_part_trial");
+    return true;
+  }
+  const auto* held = std::get_if<routing::PromptHeld>(&verdict);
+  if (held == nullptr) return true;
+  if (response_started_ || !may_have_run_on_.empty()) {
+    Fail(kBadGateway, kHeldReason);
+  } else {
+    Reject(kUnavailable, kHeldReason, held->retry_after);
+  }
+  return false;
+}
+
+bool Exchange::RecordCrash(const Attempt& attempt, http::CallEnd end) {
+  const bool broken_off = end == http::CallEnd::kNoResponse || end == http::CallEnd::kCutShort;
+  if (!broken_off || shared_parts_.empty() || attempt.event_count >= kSoundEvents) return true;
+  const routing::CrashConclusion conclusion = owner_.prompt_parts_.OnCrash(
+      shared_parts_, attempt.backend_server.value(), owner_.CountServers(service_),
+      attempt.started_at, common::BootClock::now());
+  for (const auto& [part, crashes] : conclusion.candidates) {
+    owner_.log_.Warn(LogLine("prompt_part_candidate")
+                         .Add("request", facts_.id)
+                         .Add("part", part)
+                         .Add("backend", attempt.backend_server.value())
+                         .Add("crashes", crashes)
+                         .Add("may_retry", conclusion.may_retry)
+                         .text());
+  }
+  owner_.metrics_.CountEvent("prompt_part_candidate");
+  return conclusion.may_retry;
+}
+
+void Exchange::RecordSoundStart() {
+  for (const std::string& part :
+       owner_.prompt_parts_.OnSoundStart(shared_parts_, common::BootClock::now())) {
+    owner_.log_.Info(
+        LogLine("prompt_part_sound").Add("request", facts_.id).Add("part", part).text());
+  }
+}
+
 bool Exchange::BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const {
   if (facts_.id.empty()) return true;
   // Servers name the request that they respond to. On a reused connection a response that names
@@ -499,7 +561,10 @@
       return;
     }
   }
-  if (IsProgress(event)) RecordProgress();
+  if (IsProgress(event)) {
+    RecordProgress();
+    if (++attempt_->event_count == kSoundEvents) RecordSoundStart();
+  }
   if (event.id) last_event_ = event.id;
   if (!std::exchange(response_started_, true)) {
     http::ResponseHead head = attempt_->head;
@@ -548,6 +613,8 @@
       http::RemoveConnectionFields(head.headers);
       request_->StartStream(head);
     }
+    // A response without length and events may also be that of a server that crashed.
+    if (attempt_->event_count > 0 && attempt_->event_count < kSoundEvents) RecordSoundStart();
     request_->EndStream();
     ReleaseAttempt(AttemptResult::kSuccess);
     End("answered", status, "");
@@ -557,6 +624,7 @@
     OnFailedAttempt(http::CallEnd::kInvalid);
     return;
   }
+  if (IsSuccess(status)) RecordSoundStart();
   if (IsServerError(status) && retryable()) {
     const http::ResponseHead head = attempt_->head;
     const std::string body = attempt_->body;
@@ -604,13 +672,14 @@
   if (sent) may_have_run_on_.insert(attempt_->backend_server);
   owner_.metrics_.CountEvent(NameOf(end));
   LogFailedAttempt(*attempt_, end);
+  const bool may_retry = RecordCrash(*attempt_, end);
   attempt_->connection->Close();
   if (silent_attempt_) {
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
   }
   ReleaseAttempt(AttemptResult::kFailure);
-  if (TryRetry(sent)) return;
+  if (may_retry && TryRetry(sent)) return;
   if (sent || response_started_ || !may_have_run_on_.empty()) {
     Fail(kBadGateway, NameOf(end));
   } else {
@@ -674,6 +743,7 @@
   if (state_ == State::kEnded || disconnected_ || sent_attempts_ >= kMaxAttempts) return false;
   if (deadline_ - now < kMinTimeLeft) return false;
   if (may_have_run && !retryable()) return false;
+  if (is_trial_ && (may_have_run || last_attempt_rejected_)) return false;
   return may_have_run_on_.size() < std::max(route_->max_attempts(), 1U);
 }
 
@@ -697,6 +767,7 @@
     return;
   }
   if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
+  if (owner_.prompt_parts_.HasEvidence(shared_parts_)) return;
   next_replacement_at_ = now + kReplacementInterval;
   const std::size_t ran_on =
       may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
@@ -797,6 +868,7 @@
   }
   owner_.metrics_.CountEvent(NameOf(end));
   LogFailedAttempt(*silent_attempt_, end);
+  RecordCrash(*silent_attempt_, end);
   ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -149,6 +149,39 @@
   service_of_ = std::move(present);
 }
 
+std::uint32_t Forwarder::CountServers(const std::string& service) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(service_of_.begin(), service_of_.end(),
+                    [&](const auto& item) { return item.second == service; }));
+}
+
+void Forwarder::SetPromptParts(const std::vector<schema::PromptPart>& rows) {
+  std::set<std::string> held;
+  for (const schema::PromptPart& row : rows) {
+    if (!row.held()) continue;
+    held.insert(row.part());
+    if (held_prompt_parts_.contains(row.part())) continue;
+    std::string servers;
+    for (const std::string& server : row.backend_servers()) {
+      servers += (servers.empty() ? "" : ",") + server;
+    }
+    log_.Warn(LogLine("prompt_part_held")
+                  .Add("part", row.part())
+                  .Add("crashes", row.crashes())
+                  .Add("servers", servers)
+                  .Add("next_trial_unix_ms", row.next_trial_unix_ms())
+                  .text());
+    metrics_.CountEvent("prompt_part_held");
+  }
+  for (const std::string& part : held_prompt_parts_) {
+    if (held.contains(part)) continue;
+    log_.Info(LogLine("prompt_part_cleared").Add("part", part).text());
+    metrics_.CountEvent("prompt_part_cleared");
+  }
+  held_prompt_parts_ = std::move(held);
+  prompt_parts_.SetRows(rows);
+}
+
 Forwarder::ServiceState& Forwarder::StateOf(const std::string& service) {
   const auto found = services_.find(service);
   if (found != services_.end()) return found->second;
@@ -233,6 +266,7 @@
     DispatchQueued(service);
   }
   pool_.CloseExpired(now);
+  prompt_parts_.Expire(now);
 }
 
 }  // namespace briarwood::forwarding::impl
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -41,6 +41,9 @@
 constexpr milliseconds kLeaveRotationDelay{2600};
 constexpr milliseconds kDrainPollInterval{20};
 constexpr milliseconds kUsageFlushTimeout{800};
+/// Evidence is worth little after the requests that come within seconds.
+constexpr milliseconds kEvidenceTimeout{1500};
+constexpr milliseconds kEvidenceCallTimeout{600};
 /// The entry counts as connected to the control members if the leader has confirmed the state of
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
@@ -84,6 +87,11 @@
                    .incarnation = options_.incarnation,
                    .period = proposals::UsageReportPeriod(0),
                    .on_committed = {}}),
+        evidence_proposer_({.members = ToVector(options_.settings.control_rpc()),
+                            .credential = options_.credential,
+                            .ca_file = {},
+                            .call_timeout = kEvidenceCallTimeout},
+                           1),
         sync_client_({.parents = distribution::OrderParents(
                           options_.settings.node().id(), ToVector(options_.settings.control_rpc())),
                       .credential = options_.credential,
@@ -112,6 +120,7 @@
     row_subscription_ = {};
     if (list_thread_.joinable()) list_thread_.join();
     reporter_.Stop();
+    evidence_proposer_.Stop();
     if (loop_thread_.joinable()) {
       boost::asio::post(loop_, [this] {
         server_.reset();
@@ -129,7 +138,7 @@
   std::string Start() {
     const schema::EntrySettings& settings = options_.settings;
     row_subscription_ = replica_.Subscribe(
-        [this](const std::vector<distribution::RowTable::RowKey>&) { OnRows(); });
+        [this](const std::vector<distribution::RowTable::RowKey>& changed) { OnChanged(changed); });
     reporter_.ReportFor({options_.incarnation});
     if (std::string problem = StartHttp(); !problem.empty()) return problem;
     sync_client_.Register(rpc_server_);
@@ -246,6 +255,8 @@
     forwarder_.Tick(now);
     in_flight_ = forwarder_.in_flight();
     UpdateReady();
+    ReportEvidence(now);
+    RequestTrial(now);
     if (now - last_usage_transfer_at_ < usage_report_period_) return;
     last_usage_transfer_at_ = now;
     TransferUsage();
@@ -301,6 +312,65 @@
 
   [[nodiscard]] std::size_t InFlight() const noexcept { return in_flight_; }
 
+  void ReportEvidence(common::Time now) {
+    if (evidence_in_flight_) return;
+    auto evidence = forwarder_.prompt_parts().TakeReport(now);
+    if (!evidence) return;
+    evidence_in_flight_ = true;
+    evidence->set_now_unix_ms(proposals::WallClockMillis());
+    schema::Command command;
+    *command.mutable_record_part_evidence() = *evidence;
+    evidence_proposer_.Propose(
+        std::move(command), now + kEvidenceTimeout,
+        [this, evidence = *evidence](const schema::ProposeResponse& response) {
+          const bool applied = response.status() == schema::ProposeResponse::STATUS_APPLIED;
+          boost::asio::post(loop_, [this, evidence, applied] {
+            evidence_in_flight_ = false;
+            if (!applied) forwarder_.prompt_parts().PutBack(evidence, common::BootClock::now());
+          });
+        });
+  }
+
+  void RequestTrial(common::Time now) {
+    if (trial_in_flight_) return;
+    const std::vector<std::string> parts = forwarder_.prompt_parts().TakeWantedTrial();
+    if (parts.empty()) return;
+    trial_in_flight_ = true;
+    schema::Command command;
+    schema::BeginPartTrial& trial = *command.mutable_begin_part_trial();
+    trial.mutable_parts()->Add(parts.begin(), parts.end());
+    trial.set_entry_incarnation(options_.incarnation.value());
+    trial.set_sequence(++trial_sequence_);
+    trial.set_now_unix_ms(proposals::WallClockMillis());
+    evidence_proposer_.Propose(
+        std::move(command), now + kEvidenceTimeout,
+        [this, parts](const schema::ProposeResponse& response) {
+          const bool granted = response.status() == schema::ProposeResponse::STATUS_APPLIED &&
+                               response.result().code() == schema::RESULT_CODE_OK;
+          boost::asio::post(loop_, [this, parts, granted] {
+            trial_in_flight_ = false;
+            if (granted) forwarder_.prompt_parts().OnTrialGranted(parts, common::BootClock::now());
+          });
+        });
+  }
+
+  void OnChanged(const std::vector<distribution::RowTable::RowKey>& changed) {
+    if (!replica_.freshness()) return;
+    const auto is_prompt_part = [](const distribution::RowTable::RowKey& key) {
+      return key.first == schema::ROW_KIND_PROMPT_PART;
+    };
+    if (has_table_ && std::all_of(changed.begin(), changed.end(), is_prompt_part)) {
+      ApplyPromptParts();
+    } else {
+      OnRows();
+    }
+  }
+
+  void ApplyPromptParts() {
+    boost::asio::post(loop_,
+                      [this, rows = replica_.PromptParts()] { forwarder_.SetPromptParts(rows); });
+  }
+
   /// Runs on the thread that applies sync responses. No response is applied meanwhile, so all rows
   /// that are read from the replica belong to its current log index. A process that has just
   /// started uses no state until a majority has confirmed it, because a member that has also just
@@ -308,6 +378,7 @@
   void OnRows() {
     if (!replica_.freshness()) return;
     has_table_ = true;
+    ApplyPromptParts();
     auto table = std::make_shared<const routing::ForwardTable>(
         routing::ForwardConfiguration{.routes = replica_.ForwardRoutes(),
                                       .services = replica_.Services(),
@@ -370,14 +441,18 @@
     // its state some time ago. "control_lost" and "control_regained" log the end and the return of
     // the connection to the control members.
     const bool fresh = response.confirmed() && response.freshness_age_ms() <= kMaxConfirmationAgeMs;
+    if (fresh) {
+      boost::asio::post(loop_, [this, now] { forwarder_.prompt_parts().OnControlContact(now); });
+    }
     if (fresh && control_disconnected_.exchange(false)) {
       log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
     }
     if (response.agreed_unix_ms() != 0) {
       const common::Time agreed_at = sent_at + (now - sent_at) / 2;
       boost::asio::post(loop_, [this, agreed_at, agreed = response.agreed_unix_ms()] {
-        usage_counter_.SetAgreedTime(common::UnixMillis(static_cast<std::int64_t>(agreed)),
-                                     agreed_at);
+        const common::UnixMillis time(static_cast<std::int64_t>(agreed));
+        usage_counter_.SetAgreedTime(time, agreed_at);
+        forwarder_.prompt_parts().SetAgreedTime(time, agreed_at);
       });
     }
     if (response.entry_count() != 0) {
@@ -416,6 +491,7 @@
     if (parents.empty()) return;
     sync_client_.SetParents(parents);
     reporter_.SetMembers(parents);
+    evidence_proposer_.SetMembers(parents);
   }
 
   void ApplyList(const schema::BackendList& list, common::Time read_at, std::string_view source) {
@@ -476,6 +552,8 @@
   http::Timer tick_timer_;
   impl::UsageCounter usage_counter_;
   proposals::UsageReporter reporter_;
+  /// Reports evidence against prompt parts and requests trials.
+  proposals::BackgroundProposer evidence_proposer_;
   distribution::Replica replica_;
   distribution::SyncClient sync_client_;
   rpc::Server rpc_server_;
@@ -489,6 +567,9 @@
   milliseconds usage_report_period_ = proposals::UsageReportPeriod(0);
   /// Time of the last transfer of counts to the usage reporter.
   common::Time last_usage_transfer_at_;
+  bool evidence_in_flight_ = false;
+  bool trial_in_flight_ = false;
+  std::uint64_t trial_sequence_ = 0;
   /// Used on the thread that applies sync responses.
   bool has_table_ = false;
   std::atomic<bool> ready_ = false;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "briarwood/forwarding/event_splitter.h"
 #include "forwarding/impl/forwarder.h"
@@ -35,6 +36,8 @@
   bool reused_connection = false;
   std::string body;
   EventSplitter events;
+  /// Whole events that are part of the response.
+  std::uint64_t event_count = 0;
   bool streaming = false;
   /// The response has started; for a stream, its first event has arrived.
   bool has_progress = false;
@@ -80,6 +83,15 @@
   [[nodiscard]] bool StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
                                   double work, common::Time now);
   void SendAttempt();
+  /// Rejects the request, or fails it if a server may have run it, when a part of its prompt is
+  /// held back.
+  /// \returns true if the request may be sent.
+  [[nodiscard]] bool CheckPromptParts();
+  /// Records that a server ended the attempt, if that may be due to the prompt.
+  /// \returns false if a retry may crash the next server.
+  bool RecordCrash(const Attempt& attempt, http::CallEnd end);
+  /// Records that the server of the current attempt has begun a sound response.
+  void RecordSoundStart();
   /// \returns false if the response belongs to another request.
   [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const;
   /// Logs a response to another request, which is skipped.
@@ -179,6 +191,10 @@
   bool response_started_ = false;
   bool disconnected_ = false;
   bool usage_counted_ = false;
+  /// Ids of the parts of the prompt that other requests may share.
+  std::vector<std::string> shared_parts_;
+  /// The request is the trial of a held prompt part.
+  bool is_trial_ = false;
   std::optional<std::uint64_t> last_event_;
   std::optional<common::Time> first_byte_at_;
   common::Time last_progress_at_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -20,6 +20,7 @@
 #include "briarwood/routing/forward_table.h"
 #include "briarwood/routing/placement.h"
 #include "briarwood/routing/prompt_limiter.h"
+#include "briarwood/routing/prompt_part_guard.h"
 #include "briarwood/routing/scheduler.h"
 #include "briarwood/routing/service_retry_budget.h"
 #include "fleet.pb.h"
@@ -54,6 +55,10 @@
   void ConfirmBackends(common::Time read_at);
   void SetEntryCount(std::uint32_t entries);
 
+  /// Replaces the fleet's evidence against prompt parts.
+  void SetPromptParts(const std::vector<schema::PromptPart>& rows);
+  [[nodiscard]] routing::PromptPartGuard& prompt_parts() noexcept { return prompt_parts_; }
+
   /// From now on, rejects new requests before any backend server receives them. Requests in
   /// progress continue.
   void RejectNew() noexcept { rejecting_new_ = true; }
@@ -95,6 +100,7 @@
   /// service; 0 means no limit.
   [[nodiscard]] std::uint32_t MaxConnections(const std::string& service) const;
   void ApplyBackends();
+  [[nodiscard]] std::uint32_t CountServers(const std::string& service) const;
   void LogPromptLimit(const std::string& service, ServiceState& state);
 
   http::EventLoop& loop_;
@@ -110,6 +116,9 @@
   std::uint32_t entries_ = 0;
   routing::Placement placement_;
   routing::ServiceRetryBudget retry_budget_;
+  routing::PromptPartGuard prompt_parts_;
+  /// Held parts in the last rows of the control members.
+  std::set<std::string> held_prompt_parts_;
   ConnectionPool pool_;
   std::map<std::string, ServiceState> services_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
--- a/src/routing/prompt_part_guard.cc
+++ b/src/routing/prompt_part_guard.cc
@@ -97,7 +97,7 @@
   const auto due = [&](const schema::PromptPart* evidence) {
     const auto row = rows_.find(evidence->part());
     return agreed && row != rows_.end() && &row->second == evidence &&
-           evidence->next_trial_unix_ms() <= *agreed;
+           PromptPartTable::IsTrialDue(rows_, *evidence, parts, *agreed);
   };
   if (IsConnected(now) && !grant_ && std::all_of(held.begin(), held.end(), due)) {
     wanted_trial_.clear();
@@ -126,6 +126,12 @@
   return history.sound_at && (!history.crash_at || *history.sound_at > *history.crash_at);
 }
 
+bool PromptPartGuard::HasEvidence(const std::vector<std::string>& parts) const {
+  return std::any_of(parts.begin(), parts.end(), [this](const std::string& part) {
+    return rows_.contains(part) || own_.Find(part) != nullptr;
+  });
+}
+
 CrashConclusion PromptPartGuard::OnCrash(const std::vector<std::string>& parts,
                                          const std::string& server, std::uint32_t servers,
                                          common::Time sent_at, common::Time now) {
--- a/src/routing/prompt_part_table.cc
+++ b/src/routing/prompt_part_table.cc
@@ -23,6 +23,20 @@
   return std::find(servers.begin(), servers.end(), crash.backend_server()) == servers.end();
 }
 
+bool PromptPartTable::IsTrialDue(const std::map<std::string, schema::PromptPart>& all,
+                                 const schema::PromptPart& evidence,
+                                 const std::vector<std::string>& parts, std::uint64_t now_ms) {
+  if (evidence.next_trial_unix_ms() <= now_ms) return true;
+  if (evidence.trial_sequence() != 0) return false;
+  return std::any_of(all.begin(), all.end(), [&](const auto& item) {
+    const auto& [other, other_evidence] = item;
+    return other_evidence.held() && std::find(parts.begin(), parts.end(), other) == parts.end() &&
+           std::equal(other_evidence.backend_servers().begin(),
+                      other_evidence.backend_servers().end(), evidence.backend_servers().begin(),
+                      evidence.backend_servers().end());
+  });
+}
+
 std::vector<std::string> PromptPartTable::RecordCrash(const schema::PromptPartCrash& crash) {
   std::set<std::string> parts;
   for (const std::string& part : crash.parts()) {
@@ -90,14 +104,15 @@
 
 PromptPartTrial PromptPartTable::BeginTrial(const schema::BeginPartTrial& trial,
                                             std::uint64_t now_ms) {
+  const std::vector<std::string> parts(trial.parts().begin(), trial.parts().end());
   std::vector<schema::PromptPart*> held;
   bool repeated = false;
   bool due = true;
-  for (const std::string& part : trial.parts()) {
+  for (const std::string& part : parts) {
     const auto found = parts_.find(part);
     if (found == parts_.end() || !found->second.held()) continue;
     held.push_back(&found->second);
-    due = due && found->second.next_trial_unix_ms() <= now_ms;
+    due = due && IsTrialDue(parts_, found->second, parts, now_ms);
     repeated = repeated || (trial.sequence() != 0 &&
                             found->second.trial_entry_incarnation() == trial.entry_incarnation() &&
                             found->second.trial_sequence() == trial.sequence());
--- a/tests/routing/prompt_part_guard_test.cc
+++ b/tests/routing/prompt_part_guard_test.cc
@@ -79,6 +79,16 @@
   EXPECT_FALSE(Crash("s2", seconds(2)).may_retry);
 }
 
+// Guards against a request that runs on two servers at once and crashes both.
+TEST_F(PromptPartGuardTest, KnowsPartsUnderWhichServersCrashed) {
+  EXPECT_FALSE(guard_.HasEvidence(kBad));
+  Crash("s1", seconds(1), {"bad"});
+  EXPECT_TRUE(guard_.HasEvidence(kBad));
+  EXPECT_FALSE(guard_.HasEvidence(kSound));
+  guard_.SetRows({Row("shared", 1, false)});
+  EXPECT_TRUE(guard_.HasEvidence(kSound));
+}
+
 // Guards against sound requests that are not retried after servers have crashed together, and
 // after failures of one faulty server.
 TEST_F(PromptPartGuardTest, AllowsRetriesAfterOneMassCrash) {
--- a/tests/routing/prompt_part_table_test.cc
+++ b/tests/routing/prompt_part_table_test.cc
@@ -115,6 +115,22 @@
   EXPECT_EQ(table.BeginTrial(Trial(2, 2), 90 * kSecond), PromptPartTrial::kGranted);
 }
 
+// Guards against a shared part that is held for 30 s because it was part of no sound request before
+// the part that crashes servers was held.
+TEST(PromptPartTableTest, TellsPartsOfTheSameCrashesApart) {
+  PromptPartTable table;
+  table.RecordCrash(Crash("s1", 9 * kSecond, 10 * kSecond, {"shared", "bad"}));
+  table.RecordCrash(Crash("s2", 19 * kSecond, 20 * kSecond, {"shared", "bad"}));
+  table.RecordCrash(Crash("s3", 29 * kSecond, 30 * kSecond, {"shared", "bad"}));
+  EXPECT_EQ(table.BeginTrial(Trial(1, 1, {"shared", "bad"}), 31 * kSecond),
+            PromptPartTrial::kNotDue);
+  EXPECT_EQ(table.BeginTrial(Trial(1, 2, {"shared"}), 31 * kSecond), PromptPartTrial::kGranted);
+  EXPECT_EQ(table.BeginTrial(Trial(2, 1, {"shared"}), 32 * kSecond), PromptPartTrial::kNotDue);
+  table.Clear("shared");
+  EXPECT_EQ(table.BeginTrial(Trial(1, 3, {"shared", "bad"}), 33 * kSecond),
+            PromptPartTrial::kNotDue);
+}
+
 // Guards against trials that crash servers at a constant rate.
 TEST(PromptPartTableTest, DoublesTheTrialDelayAfterACrash) {
   PromptPartTable table;
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -81,6 +81,11 @@
           .fence = common::Term(3),
           .index = common::LogIndex(index_)};
     };
+    source.complete = [](const schema::SyncRequest&, schema::SyncResponse& response) {
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      response.set_agreed_unix_ms(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+    };
     return source;
   }
 
