--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -22,10 +22,15 @@
 /// much longer for that response.
 constexpr milliseconds kDeadlineGracePeriod{150};
 /// A request may be queued until the route's target for the first event or, if that is longer, for
-/// this share of the time from its arrival to its deadline.
+/// this share of the time from its arrival to its deadline; before a retry, for this share of the
+/// time that is left.
 constexpr double kMaxQueueShare = 0.35;
 /// Attempts of one request, including those that were rejected without being run.
 constexpr std::uint32_t kMaxAttempts = 4;
+/// Interval between attempts after kMaxAttempts if the servers cannot be reached, for a request
+/// that must not be given up. Crashed servers refuse connections and stay on the list for some
+/// seconds.
+constexpr milliseconds kUnreachableRetryInterval{50};
 /// Time that must be left before the deadline for a retry.
 constexpr milliseconds kMinTimeLeft{20};
 /// Reading from the backend server pauses while more than this is buffered for the caller.
@@ -159,7 +164,7 @@
     shared_parts_.push_back(facts_.prompt_parts[i].id);
   }
   const auto self = shared_from_this();
-  request_->OnDisconnected([weak = weak_from_this()] {
+  request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause /*cause*/) {
     if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected();
   });
   if (Admit()) Queue();
@@ -192,11 +197,45 @@
   milliseconds time_left(route_->timeout_ms());
   if (facts_.time_left) time_left = std::min(time_left, *facts_.time_left);
   deadline_ = request_->arrived_at() + time_left;
+  class_id_ = Policy().id;
+  if (!EndsBeforeStop(common::BootClock::now())) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+    return false;
+  }
   service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
   return CheckPromptParts();
 }
 
+std::uint64_t Exchange::ExpectedOutput() const {
+  return facts_.max_output_tokens > 0 ? facts_.max_output_tokens
+                                      : facts_.expected_output_tokens.value_or(0);
+}
+
+bool Exchange::EndsBeforeStop(common::Time now) const {
+  if (!owner_.stop_end_ || deadline_ + kDeadlineGracePeriod <= *owner_.stop_end_) return true;
+  const auto estimate = owner_.response_times_.Estimate(class_id_, ExpectedOutput());
+  return estimate && now + *estimate <= *owner_.stop_end_;
+}
+
+bool Exchange::HasNotRun() const {
+  return !response_started_ && !silent_attempt_ && may_have_run_on_.empty();
+}
+
+void Exchange::OnStop() {
+  if (state_ == State::kEnded) return;
+  if (attempt_) {
+    if (attempt_->connection->sent_at()) may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReleaseAttempt(AttemptResult::kInconclusive);
+  }
+  if (HasNotRun()) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+  } else {
+    Fail(kBadGateway, "stopping");
+  }
+}
+
 void Exchange::Hold() {
   const auto wait =
       facts_.time_left ? std::chrono::duration_cast<milliseconds>(*facts_.time_left * kMaxHoldShare)
@@ -617,6 +656,7 @@
     if (attempt_->event_count > 0 && attempt_->event_count < kSoundEvents) RecordSoundStart();
     request_->EndStream();
     ReleaseAttempt(AttemptResult::kSuccess);
+    ObserveResponseTime();
     End("answered", status, "");
     return;
   }
@@ -651,9 +691,17 @@
   // An error status in the backend server's own response comes from the application and does not
   // show that the backend server is faulty.
   ReleaseAttempt(AttemptResult::kSuccess);
+  if (IsSuccess(status)) ObserveResponseTime();
   End("answered", status, "");
 }
 
+void Exchange::ObserveResponseTime() {
+  const common::Time arrived = request_->arrived_at();
+  const common::Time now = common::BootClock::now();
+  owner_.response_times_.Observe(class_id_, ExpectedOutput(),
+                                 first_byte_at_.value_or(now) - arrived, now - arrived);
+}
+
 void Exchange::LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const {
   owner_.log_.Warn(LogLine("attempt_failed")
                        .Add("request", facts_.id)
@@ -670,6 +718,7 @@
 void Exchange::OnFailedAttempt(http::CallEnd end) {
   const bool sent = end != http::CallEnd::kNotSent;
   if (sent) may_have_run_on_.insert(attempt_->backend_server);
+  if (!sent) ++unsent_attempts_;
   owner_.metrics_.CountEvent(NameOf(end));
   LogFailedAttempt(*attempt_, end);
   const bool may_retry = RecordCrash(*attempt_, end);
@@ -735,12 +784,21 @@
     owner_.metrics_.CountEvent("repeat_budget_spent");
     return false;
   }
-  QueueRetry(now);
+  if (sent_attempts_ < kMaxAttempts) {
+    QueueRetry(now);
+    return true;
+  }
+  state_ = State::kWaiting;
+  retry_at_ = now + kUnreachableRetryInterval;
   return true;
 }
 
 bool Exchange::MayRetry(bool may_have_run, common::Time now) const {
-  if (state_ == State::kEnded || disconnected_ || sent_attempts_ >= kMaxAttempts) return false;
+  if (state_ == State::kEnded || disconnected_) return false;
+  // A response that has started is lost without a further attempt; other callers may go to another
+  // entry at once.
+  const std::uint32_t counted = sent_attempts_ - (response_started_ ? unsent_attempts_ : 0);
+  if (counted >= kMaxAttempts) return false;
   if (deadline_ - now < kMinTimeLeft) return false;
   if (may_have_run && !retryable()) return false;
   if (is_trial_ && (may_have_run || last_attempt_rejected_)) return false;
@@ -872,13 +930,19 @@
   ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
+common::Time Exchange::RetryQueueDeadline(common::Time now) const {
+  // Giving up a response that has started loses it.
+  if (response_started_) return deadline_ - kMinTimeLeft;
+  return now + common::FromSeconds(common::ToSeconds(deadline_ - now) * kMaxQueueShare);
+}
+
 void Exchange::QueueRetry(common::Time now) {
   last_attempt_rejected_ = false;
   state_ = State::kQueued;
   queued_at_ = now;
   Forwarder::ServiceState& state = owner_.StateOf(service_);
   const std::uint64_t resume_from = last_event_.value_or(0);
-  state.scheduler.Requeue(id(), resume_from, last_backend_);
+  state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
   boost::asio::post(owner_.loop_, [weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->owner_.DispatchQueued(exchange->service_);
   });
@@ -933,6 +997,19 @@
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
+  if ((state_ == State::kQueued || state_ == State::kWaiting) && HasNotRun() &&
+      !EndsBeforeStop(now)) {
+    Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
+    return;
+  }
+  if (state_ == State::kWaiting) {
+    if (deadline_ - now < kMinTimeLeft) {
+      Fail(kGatewayTimeout, "no_backend_in_time");
+    } else if (now >= retry_at_) {
+      QueueRetry(now);
+    }
+    return;
+  }
   if (state_ != State::kRunning || !attempt_) return;
   if (request_->buffered_bytes() <= kMaxBufferedBytes) attempt_->connection->PauseReading(false);
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
@@ -1002,10 +1079,6 @@
   owner_.log_.Info(line.text());
 }
 
-void Exchange::LogCutByStop() const {
-  LogEnd(response_started_ ? "cut" : "unanswered", 0, "stopped");
-}
-
 void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
   if (state_ == State::kEnded) return;
   const auto self = shared_from_this();
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -60,11 +60,20 @@
   void OnConfiguration();
   /// Ends a hold, a stalled attempt or the request itself when its time has run out.
   void CheckTimeouts(common::Time now);
-  /// Logs that the request was open when the process stopped.
-  void LogCutByStop() const;
+  /// Ends the request because the process stops. The caller gets a response unless its response has
+  /// started.
+  void OnStop();
 
  private:
-  enum class State : std::uint8_t { kHeld, kQueued, kRunning, kEnded };
+  enum class State : std::uint8_t {
+    /// Until the first configuration with forwarding is active.
+    kHeld,
+    kQueued,
+    kRunning,
+    /// Until the next attempt may be queued.
+    kWaiting,
+    kEnded,
+  };
 
   /// Holds the request until the first configuration with forwarding is active. Rejects it if the
   /// caller's time limit leaves no time for that or if too many requests are held.
@@ -73,6 +82,13 @@
   bool Admit();
   void Queue();
   [[nodiscard]] routing::ClassPolicy Policy() const;
+  /// \returns the maximum number of output tokens, or else the caller's estimate; 0 if unknown.
+  [[nodiscard]] std::uint64_t ExpectedOutput() const;
+  /// True unless the process stops and the response would probably be cut.
+  [[nodiscard]] bool EndsBeforeStop(common::Time now) const;
+  /// True if no backend server can have run the request.
+  [[nodiscard]] bool HasNotRun() const;
+  void ObserveResponseTime();
   /// \returns the length of the prompt's parts that other requests share.
   [[nodiscard]] std::uint64_t SharedTokens() const;
   /// \returns the hash of the longest shared prefix, or 0 if the prompt has no long one.
@@ -122,6 +138,8 @@
   [[nodiscard]] bool TryRetry(bool may_have_run);
   [[nodiscard]] bool MayRetry(bool may_have_run, common::Time now) const;
   void QueueRetry(common::Time now);
+  /// \returns the time until which the request may wait for a retry.
+  [[nodiscard]] common::Time RetryQueueDeadline(common::Time now) const;
   /// Buffers a piece of a response that is delivered whole, or fails the attempt if the response,
   /// or all responses that the entry buffers, are too long.
   void BufferBody(std::string_view data);
@@ -170,6 +188,7 @@
   std::string service_;
   common::CustomerId customer_;
   common::Tier tier_;
+  common::ClassId class_id_;
   common::Time deadline_;
   common::Time hold_until_;
   State state_ = State::kQueued;
@@ -184,6 +203,9 @@
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
   std::uint32_t sent_attempts_ = 0;
+  /// Attempts in `sent_attempts_` whose server could not be reached.
+  std::uint32_t unsent_attempts_ = 0;
+  common::Time retry_at_;
   std::uint64_t delivered_events_ = 0;
   bool in_scheduler_ = false;
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
