Limit the evidence reports of an entry to ten a second

A server that fails part of its requests, or a mass failure, would make each entry propose a command per commit round for as long as it lasts, although candidates change little. An entry now waits 100 ms between two reports of evidence against prompt parts; the first one leaves at once.

--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -47,6 +47,8 @@
 /// Evidence is worth little after the requests that come within seconds.
 constexpr milliseconds kEvidenceTimeout{1500};
 constexpr milliseconds kEvidenceCallTimeout{600};
+/// Limits the commands of an entry while many attempts fail.
+constexpr milliseconds kMinEvidenceInterval{100};
 /// The entry counts as connected to the control members if the leader has confirmed the state of
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
@@ -342,10 +344,11 @@
   [[nodiscard]] std::size_t InFlight() const noexcept { return in_flight_; }
 
   void ReportEvidence(common::Time now) {
-    if (evidence_in_flight_) return;
+    if (evidence_in_flight_ || now - last_evidence_at_ < kMinEvidenceInterval) return;
     auto evidence = forwarder_.prompt_parts().TakeReport(now);
     if (!evidence) return;
     evidence_in_flight_ = true;
+    last_evidence_at_ = now;
     evidence->set_now_unix_ms(proposals::WallClockMillis());
     schema::Command command;
     *command.mutable_record_part_evidence() = *evidence;
@@ -597,6 +600,7 @@
   /// Time of the last transfer of counts to the usage reporter.
   common::Time last_usage_transfer_at_;
   bool evidence_in_flight_ = false;
+  common::Time last_evidence_at_;
   bool trial_in_flight_ = false;
   std::uint64_t trial_sequence_ = 0;
   /// Used on the thread that applies sync responses.
