--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -45,8 +45,8 @@
 constexpr milliseconds kResponseFlushTimeout{60};
 constexpr milliseconds kResponsePollInterval{2};
 /// Evidence is worth little after the requests that come within seconds.
-constexpr milliseconds kEvidenceTimeout{1500};
-constexpr milliseconds kEvidenceCallTimeout{600};
+constexpr milliseconds kEvidenceTimeout{800};
+constexpr milliseconds kEvidenceCallTimeout{400};
 /// Limits the commands of an entry while many attempts fail.
 constexpr milliseconds kMinEvidenceInterval{100};
 /// The entry counts as connected to the control members if the leader has confirmed the state of
--- a/tests/cli/briarwoodctl_test.cc
+++ b/tests/cli/briarwoodctl_test.cc
@@ -92,7 +92,7 @@
 
   void CrashServers() {
     constexpr std::uint64_t kStart = control::testing_support::FakeAdminBackend::kStartUnixMs;
-    for (const std::uint64_t second : {1, 2, 3}) {
+    for (const std::uint64_t second : {1U, 2U, 3U}) {
       schema::Command command;
       schema::PromptPartCrash& crash = *command.mutable_record_part_evidence()->add_crashes();
       crash.add_parts("5c1e07a2");
