--- a/include/briarwood/routing/response_time_estimator.h
+++ b/include/briarwood/routing/response_time_estimator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,10 +11,10 @@
 
 namespace briarwood::routing {
 
-/// Estimates how long a response lasts from the arrival of its request, so that an entry that stops
-/// takes only requests that it can finish. The estimate of a class grows linearly with the expected
-/// output and covers most responses: it is the mean plus four mean deviations, as in the
-/// retransmission timeout of TCP.
+/// Estimates within which time a response probably ends, counted from the arrival of its request,
+/// so that an entry that stops takes only requests that it can finish. The lengths of outputs vary
+/// widely around what callers expect, so the estimate is a high quantile of the recent responses of
+/// the class, relative to the expected output, and not their mean.
 class ResponseTimeEstimator {
  public:
   /// Records a response that has ended.
@@ -22,26 +24,22 @@
   void Observe(const common::ClassId& class_id, std::uint64_t output_tokens, common::Duration first,
                common::Duration total);
 
-  /// \returns the time that a response probably needs, or nothing before the first observation of
-  ///   the class.
+  /// \returns the time within which nine of ten responses end, or nothing if the class had too few.
   [[nodiscard]] std::optional<common::Duration> Estimate(const common::ClassId& class_id,
                                                          std::uint64_t output_tokens) const;
 
  private:
-  class Average {
-   public:
-    void Observe(double value) noexcept;
-    [[nodiscard]] double upper() const noexcept;
-
-   private:
-    bool observed_ = false;
-    double mean_ = 0;
-    double deviation_ = 0;
+  static constexpr std::size_t kObservations = 64;
+
+  struct Observation {
+    double first_s = 0;
+    double s_per_token = 0;
   };
 
   struct ClassState {
-    Average first_s;
-    Average s_per_token;
+    std::array<Observation, kObservations> observations;
+    std::size_t count = 0;
+    std::size_t next = 0;
   };
 
   std::map<common::ClassId, ClassState> classes_;
