Format a comment and add braces that the linter asks for

The linter stopped at a comment longer than a line in incoming.h and would have failed at a statement without braces in exchange.cc; neither changes what the code does.

--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -94,8 +94,8 @@
 
   /// Adds "Connection: close" to each further response and closes the connection after it.
   void DisableKeepAlive();
-  /// Closes the connections on which no byte of a further request has arrived, except new ones whose
-  /// first request may be on its way; call it again until they are closed.
+  /// Closes the connections on which no byte of a further request has arrived, except new ones
+  /// whose first request may be on its way; call it again until they are closed.
   void CloseIdle();
   /// Stops accepting connections, except those that the kernel has accepted already.
   void StopAccepting();
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -405,8 +405,9 @@
                              std::min(kConnectTimeout, std::max(left, milliseconds(1))),
                              {.on_head =
                                   [self, attempt](const http::ResponseHead& response) {
-                                    if (self->IsSilentAttempt(attempt))
+                                    if (self->IsSilentAttempt(attempt)) {
                                       return self->OnSilentAttemptHead(response);
+                                    }
                                     return !self->IsCurrent(attempt) || self->OnHead(response);
                                   },
                               .on_data =
