--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -72,8 +72,12 @@
 /// Lower limits of these timeouts, before and after the first event.
 constexpr milliseconds kMinFirstEventStallTimeout{250};
 constexpr milliseconds kMinGapStallTimeout{1000};
+/// Time after the start of a replacement's response in which the silent server is kept. A server
+/// may send the head of its response and break off before its first event.
+constexpr milliseconds kMaxOverlap{300};
 /// Interval between two searches for a server that replaces a silent one.
-constexpr milliseconds kReplacementInterval{50};
+constexpr milliseconds kMinReplacementInterval{50};
+constexpr milliseconds kMaxReplacementInterval{800};
 
 /// Share of the first event's target that the engine may take; the rest is for the network and the
 /// queue.
@@ -160,6 +164,7 @@
       number_(number),
       request_(std::move(request)),
       table_(owner.table_),
+      replacement_interval_(kMinReplacementInterval),
       last_progress_at_(request_->arrived_at()) {}
 
 common::RequestId Exchange::id() const { return common::RequestId(std::to_string(number_)); }
@@ -400,32 +405,40 @@
   attempt_->reused_connection = attempt_->connection->connected();
   const std::uint64_t attempt = attempt_->number;
   const auto self = shared_from_this();
-  attempt_->connection->Send(http::SerializeRequest(head, request_->body()->size(), has_body),
-                             request_->body(),
-                             std::min(kConnectTimeout, std::max(left, milliseconds(1))),
-                             {.on_head =
-                                  [self, attempt](const http::ResponseHead& response) {
-                                    if (self->IsSilentAttempt(attempt)) {
-                                      return self->OnSilentAttemptHead(response);
-                                    }
-                                    return !self->IsCurrent(attempt) || self->OnHead(response);
-                                  },
-                              .on_data =
-                                  [self, attempt](std::string_view data) {
-                                    if (self->IsSilentAttempt(attempt)) {
-                                      self->OnSilentAttemptData(data);
-                                    } else if (self->IsCurrent(attempt)) {
-                                      self->OnData(data);
-                                    }
-                                  },
-                              .on_end =
-                                  [self, attempt](http::CallEnd end) {
-                                    if (self->IsSilentAttempt(attempt)) {
-                                      self->OnSilentAttemptEnd(end);
-                                    } else if (self->IsCurrent(attempt)) {
-                                      self->OnEnd(end);
-                                    }
-                                  }});
+  http::OutgoingHandlers handlers;
+  handlers.on_head = [self, attempt](const http::ResponseHead& response) {
+    return self->OnAttemptHead(attempt, response);
+  };
+  handlers.on_data = [self, attempt](std::string_view data) { self->OnAttemptData(attempt, data); };
+  handlers.on_end = [self, attempt](http::CallEnd end) { self->OnAttemptEnd(attempt, end); };
+  attempt_->connection->Send(
+      http::SerializeRequest(head, request_->body()->size(), has_body), request_->body(),
+      std::min(kConnectTimeout, std::max(left, milliseconds(1))), std::move(handlers));
+}
+
+bool Exchange::OnAttemptHead(std::uint64_t attempt, const http::ResponseHead& head) {
+  // Closing the connection destroys the callback that holds the exchange.
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) return OnSilentAttemptHead(head);
+  return !IsCurrent(attempt) || OnHead(head);
+}
+
+void Exchange::OnAttemptData(std::uint64_t attempt, std::string_view data) {
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) {
+    OnSilentAttemptData(data);
+  } else if (IsCurrent(attempt)) {
+    OnData(data);
+  }
+}
+
+void Exchange::OnAttemptEnd(std::uint64_t attempt, http::CallEnd end) {
+  const auto self = shared_from_this();
+  if (IsSilentAttempt(attempt)) {
+    OnSilentAttemptEnd(end);
+  } else if (IsCurrent(attempt)) {
+    OnEnd(end);
+  }
 }
 
 bool Exchange::IsCurrent(std::uint64_t attempt) const {
@@ -510,10 +523,7 @@
     LogForeignResponse(facts, *attempt_);
     return false;
   }
-  if (silent_attempt_ && IsDeliverable(head, facts)) {
-    may_have_run_on_.insert(silent_attempt_->backend_server);
-    ReleaseSilentAttempt(AttemptResult::kFailure);
-  }
+  if (IsDeliverable(head, facts)) attempt_->began_at = common::BootClock::now();
   attempt_->head = head;
   attempt_->has_head = true;
   if (facts.load) {
@@ -614,8 +624,12 @@
     }
   }
   if (IsProgress(event)) {
+    if (silent_attempt_) GiveUpSilentAttempt();
     RecordProgress();
     if (++attempt_->event_count == kSoundEvents) RecordSoundStart();
+  } else if (silent_attempt_) {
+    // The silent server may still go on, with the head of its own response.
+    return;
   }
   if (event.id) last_event_ = event.id;
   if (!std::exchange(response_started_, true)) {
@@ -651,9 +665,11 @@
   const std::uint16_t status = attempt_->head.status;
   may_have_run_on_.insert(attempt_->backend_server);
   if (silent_attempt_) {
-    // The response cannot be passed on, see OnHead.
-    ReturnToSilentAttempt(AttemptResult::kSuccess);
-    return;
+    if (!attempt_->began_at) {
+      ReturnToSilentAttempt(AttemptResult::kSuccess);
+      return;
+    }
+    GiveUpSilentAttempt();
   }
   if (attempt_->streaming) {
     if (!attempt_->events.incomplete_event().empty()) {
@@ -737,6 +753,7 @@
   const bool may_retry = RecordCrash(*attempt_, end);
   attempt_->connection->Close();
   if (silent_attempt_) {
+    if (!sent) owner_.retry_budget_.Refund(service_);
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
   }
@@ -839,7 +856,7 @@
   }
   if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
   if (owner_.prompt_parts_.HasEvidence(shared_parts_)) return;
-  next_replacement_at_ = now + kReplacementInterval;
+  next_replacement_at_ = now + replacement_interval_;
   const std::size_t ran_on =
       may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
   if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
@@ -854,9 +871,11 @@
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
+  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
   owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
   silent_attempt_ = std::exchange(attempt_, std::nullopt);
   if (!StartAttempt(choice->id, tier, work, now)) {
+    owner_.retry_budget_.Refund(service_);
     attempt_ = std::exchange(silent_attempt_, std::nullopt);
     return;
   }
@@ -886,6 +905,17 @@
   Release(*std::exchange(silent_attempt_, std::nullopt), result);
 }
 
+void Exchange::GiveUpSilentAttempt() {
+  owner_.log_.Info(LogLine("attempt_replaced")
+                       .Add("request", facts_.id)
+                       .Add("backend", silent_attempt_->backend_server.value())
+                       .Add("replacement", attempt_->backend_server.value())
+                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
+                       .text());
+  may_have_run_on_.insert(silent_attempt_->backend_server);
+  ReleaseSilentAttempt(AttemptResult::kFailure);
+}
+
 bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
   if (facts.not_executed || facts.is_misdirected) return false;
   if (IsSuccess(head.status)) return facts.has_signature;
@@ -1030,6 +1060,9 @@
     owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
     ReleasePromptWork(*attempt_);
   }
+  if (silent_attempt_ && attempt_->began_at && now - *attempt_->began_at > kMaxOverlap) {
+    GiveUpSilentAttempt();
+  }
   if (now < deadline_ && IsStalled(now)) {
     ReplaceSilentAttempt(now);
     return;
