--- a/tests/routing/prompt_part_table_test.cc
+++ b/tests/routing/prompt_part_table_test.cc
@@ -136,7 +136,7 @@
   PromptPartTable table;
   Hold(table);
   std::uint64_t now = 30 * kSecond;
-  for (const std::uint64_t delay : {30, 60, 120, 240, 480, 600, 600}) {
+  for (const std::uint64_t delay : {30U, 60U, 120U, 240U, 480U, 600U, 600U}) {
     EXPECT_EQ(table.Find("bad")->next_trial_unix_ms(), now + delay * kSecond);
     now += delay * kSecond;
     EXPECT_EQ(table.BeginTrial(Trial(1, now), now), PromptPartTrial::kGranted);
