Let a sound start speak for a prompt part for two seconds only

A part that ran soundly and then turns bad was no candidate at each entry that had seen it sound in the last one or two minutes, so the first crash at every entry did not count: with many entries more servers crash than the bound of five allows. Parts that many sound requests share begin soundly every few hundred milliseconds, so two seconds still keep them out of the evidence of a crash. Test: ASoundStartLongAgoDoesNotSpeakForAPart; the other tests of guard and table pass.

--- a/src/routing/prompt_part_guard.cc
+++ b/src/routing/prompt_part_guard.cc
@@ -19,6 +19,9 @@
 constexpr milliseconds kMaxRetryAfter{3000};
 /// A history is kept for one to two of these periods.
 constexpr std::chrono::seconds kHistoryPeriod{60};
+/// A sound start speaks for a part for this long before the next attempt is sent, as a part may
+/// begin to crash servers that ran it soundly before.
+constexpr milliseconds kSoundPeriod{2000};
 constexpr std::size_t kMaxHistories = 2048;
 constexpr std::size_t kMaxUnreportedCrashes = 256;
 /// Evidence that could not be reported for this long is left to the table of this entry.
@@ -123,7 +126,8 @@
 
 bool PromptPartGuard::WasSound(const History& history, common::Time sent_at) {
   if (history.crash_at && sent_at <= *history.crash_at) return history.was_sound;
-  return history.sound_at && (!history.crash_at || *history.sound_at > *history.crash_at);
+  if (!history.sound_at || sent_at - *history.sound_at > kSoundPeriod) return false;
+  return !history.crash_at || *history.sound_at > *history.crash_at;
 }
 
 bool PromptPartGuard::HasEvidence(const std::vector<std::string>& parts) const {
--- a/tests/routing/prompt_part_guard_test.cc
+++ b/tests/routing/prompt_part_guard_test.cc
@@ -140,6 +140,14 @@
   EXPECT_THAT(Crash("s3", seconds(4)).candidates, ElementsAre(Pair("shared", 0U), Pair("bad", 1U)));
 }
 
+// Guards against a part that ran soundly at many entries, turns bad, and costs a crash at each of
+// them before it counts.
+TEST_F(PromptPartGuardTest, ASoundStartLongAgoDoesNotSpeakForAPart) {
+  guard_.OnSoundStart(kBad, kStart);
+  guard_.OnSoundStart(kSound, kStart + seconds(9));
+  EXPECT_THAT(Crash("s1", seconds(10)).candidates, ElementsAre(Pair("bad", 0U)));
+}
+
 // Guards against one crash with many requests in progress, the first of which makes the sound parts
 // of the others candidates.
 TEST_F(PromptPartGuardTest, SoundPartsAreNoCandidatesOfOneCrash) {
