Let the soak's servers fall silent, send unframed responses and break off inside events

The soak's server always framed its responses, never paused and took 0.25 s for a stream, so that an entry which gives up a silent server, or loses a response that ends with its connection, passed every run. The new fault quiet_backend silences all streams of one server. A crash resets the connections or ends them inside an event; a stream without framing that ended between two events would look complete to anyone. IncomingRequest::StartStream takes the framing.

--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -38,7 +38,10 @@
   /// Sends a complete response.
   virtual void Respond(const ResponseHead& head, const std::string& body) = 0;
   /// Sends status and header fields; the body follows in pieces as they are written.
-  virtual void StartStream(const ResponseHead& head) = 0;
+  void StartStream(const ResponseHead& head) { StartStream(head, BodyFraming::kChunked); }
+  /// \param framing  how the end of the body is marked: kChunked, or kClose for the end of the
+  ///   connection
+  virtual void StartStream(const ResponseHead& head, BodyFraming framing) = 0;
   virtual void Write(std::string_view piece) = 0;
   /// Marks the body as complete.
   virtual void EndStream() = 0;
--- a/soak/configuration_source.cc
+++ b/soak/configuration_source.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kCallTimeout{1500};
-constexpr std::chrono::milliseconds kStreamTimeout{5000};
+constexpr std::chrono::milliseconds kStreamTimeout{9000};
 constexpr std::string_view kVersionField = R"({"version":)";
 
 std::string Route(const std::string& name, const std::string& path, const std::string& rest) {
@@ -31,7 +31,7 @@
   const std::string call =
       R"("timeoutMs":1500,"sloMs":300,"priority":1,"service":"app","attempts":2)";
   const std::string stream =
-      R"("type":"streaming","timeoutMs":5000,"sloMs":800,"service":"llm","affinity":true,)"
+      R"("type":"streaming","timeoutMs":9000,"sloMs":800,"service":"llm","affinity":true,)"
       R"("itlTargetMs":200,)";
   return std::string(kVersionField) + std::to_string(version) + R"(,"routes":[)" +
          Route("read", "/read/", R"("type":"safe",)" + call) + "," +
--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "platform/names.h"
+#include "soak/response_plan.h"
 
 namespace briarwood::soak {
 namespace {
@@ -26,12 +27,16 @@
         lifetime_(backend.lifetime_),
         request_(std::move(request)),
         timer_(backend.loop_),
-        attempt_id_(HeaderOrEmpty(request_->head(), platform::kAttemptId)) {
+        attempt_id_(HeaderOrEmpty(request_->head(), platform::kAttemptId)),
+        plan_(PlanResponse(attempt_id_, backend.id_)) {
     ++backend.running_requests_;
   }
 
   ~Run() {
-    if (*lifetime_) --backend_->running_requests_;
+    if (!*lifetime_) return;
+    --backend_->running_requests_;
+    if (body_rest_.empty()) return;
+    --backend_->open_ended_bodies_;
   }
 
   Run(const Run&) = delete;
@@ -49,19 +54,29 @@
     request_->OnDisconnected([weak = weak_from_this()] {
       if (const auto run = weak.lock()) run->disconnected_ = true;
     });
-    const bool stream = head.target.starts_with("/draft/") || head.target.starts_with("/ask/");
+    stream_ = head.target.starts_with("/draft/") || head.target.starts_with("/ask/");
     if (const std::string last = HeaderOrEmpty(head, platform::kLastEventId); !last.empty()) {
       next_event_ = std::stoi(last) + 1;
     }
-    ScheduleNext(backend_->options_.processing_delay, stream);
+    ScheduleNext(plan_.processing_delay);
+  }
+
+  /// Writes the first part of an event, if the stream has begun.
+  void BreakOff(bool any_framing) {
+    if (!stream_ || !started_ || disconnected_) return;
+    if (!any_framing && !plan_.until_close) return;
+    const std::string event = RequestChecker::Event(attempt_id_, next_event_);
+    request_->Write(std::string_view(event).substr(0, event.size() / 2));
   }
 
  private:
-  void ScheduleNext(std::chrono::milliseconds delay, bool stream) {
+  void ScheduleNext(std::chrono::milliseconds delay) {
+    const bool falls_silent = backend_->quiet_ || next_event_ == plan_.silent_before;
+    if (stream_ && falls_silent && !std::exchange(was_silent_, true)) delay += plan_.silence;
     timer_.expires_after(delay);
-    timer_.async_wait([self = shared_from_this(), stream](const boost::system::error_code& error) {
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error || !*self->lifetime_ || self->disconnected_) return;
-      stream ? self->SendEvent() : self->SendResponse();
+      self->stream_ ? self->SendEvent() : self->SendResponse();
     });
   }
 
@@ -74,22 +89,41 @@
     return head;
   }
 
+  [[nodiscard]] http::BodyFraming StreamFraming() const {
+    return plan_.until_close ? http::BodyFraming::kClose : http::BodyFraming::kChunked;
+  }
+
   void SendResponse() {
-    request_->Respond(Head(), RequestChecker::ExpectedBody(attempt_id_, CallKind::kOnce));
+    const std::string body = RequestChecker::ExpectedBody(attempt_id_, CallKind::kOnce);
+    if (!plan_.until_close) {
+      request_->Respond(Head(), body);
+      return;
+    }
+    if (!std::exchange(started_, true)) {
+      request_->StartStream(Head(), StreamFraming());
+      request_->Write(std::string_view(body).substr(0, body.size() / 2));
+      body_rest_ = body.substr(body.size() / 2);
+      ++backend_->open_ended_bodies_;
+      ScheduleNext(plan_.event_interval);
+      return;
+    }
+    request_->Write(std::exchange(body_rest_, {}));
+    --backend_->open_ended_bodies_;
+    request_->EndStream();
   }
 
   void SendEvent() {
     if (!std::exchange(started_, true)) {
       http::ResponseHead head = Head();
       head.headers.Add("Content-Type", "text/event-stream");
-      request_->StartStream(head);
+      request_->StartStream(head, StreamFraming());
     }
-    if (next_event_ > RequestChecker::kEvents) {
+    if (next_event_ > EventCount(attempt_id_)) {
       request_->EndStream();
       return;
     }
     request_->Write(RequestChecker::Event(attempt_id_, next_event_++));
-    ScheduleNext(backend_->options_.event_interval, /*stream=*/true);
+    ScheduleNext(plan_.event_interval);
   }
 
   FakeBackend* backend_;
@@ -97,8 +131,13 @@
   std::shared_ptr<http::IncomingRequest> request_;
   http::Timer timer_;
   std::string attempt_id_;
+  ResponsePlan plan_;
+  /// Second part of a response that is not a stream and ends with its connection.
+  std::string body_rest_;
   int next_event_ = 1;
+  bool stream_ = false;
   bool started_ = false;
+  bool was_silent_ = false;
   bool disconnected_ = false;
 };
 
@@ -111,6 +150,7 @@
   Crash();
   id_ = id;
   running_requests_ = 0;
+  open_ended_bodies_ = 0;
   lifetime_ = std::make_shared<bool>(true);
   auto server = http::IncomingServer::Start(
       loop_, {.listen = options_.listen},
@@ -120,7 +160,10 @@
   return {};
 }
 
-void FakeBackend::Crash() {
+void FakeBackend::Crash(bool inside_event) {
+  for (const auto& weak : std::exchange(runs_, {})) {
+    if (const auto run = weak.lock()) run->BreakOff(/*any_framing=*/inside_event);
+  }
   if (lifetime_) *lifetime_ = false;
   server_.reset();
 }
@@ -139,7 +182,10 @@
     Reject(*request, kUnavailable);
     return;
   }
-  std::make_shared<Run>(*this, request)->Start();
+  auto run = std::make_shared<Run>(*this, request);
+  std::erase_if(runs_, [](const auto& weak) { return weak.expired(); });
+  runs_.push_back(run);
+  run->Start();
 }
 
 void FakeBackend::Reject(http::IncomingRequest& request, std::uint16_t status) {
--- a/soak/fake_backend.h
+++ b/soak/fake_backend.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "briarwood/http/event_loop.h"
 #include "briarwood/http/incoming.h"
@@ -17,15 +18,13 @@
   std::string listen;
   /// Maximum number of concurrent requests; further ones are rejected as not run.
   std::uint32_t slots = 8;
-  /// Delay before a plain response or before the first event of a stream.
-  std::chrono::milliseconds processing_delay{20};
-  std::chrono::milliseconds event_interval{25};
   /// Called when the execution of a request starts.
   std::function<void(const RunCall& run)> on_run;
 };
 
-/// Fake backend server that implements the platform's protocol. It can crash, which aborts its
-/// requests, and restart with a new id. Not thread-safe: use it on the thread of the event loop.
+/// Fake backend server that implements the platform's protocol. The shape of each response follows
+/// from PlanResponse. It can crash, which aborts its requests, and restart with a new id. Not
+/// thread-safe: use it on the thread of the event loop.
 class FakeBackend {
  public:
   FakeBackend(http::EventLoop& loop, BackendOptions options);
@@ -36,8 +35,15 @@
   /// Starts listening under a new id.
   /// \returns an empty string, or an error that describes why the address cannot be used.
   std::string Start(const std::string& id);
-  /// Closes the listener and all connections immediately.
-  void Crash();
+  /// Closes the listener and all connections immediately; a stream whose end is the end of its
+  /// connection breaks off inside an event.
+  /// \param inside_event  all streams break off inside an event
+  void Crash(bool inside_event = false);
+  /// While quiet, each stream falls silent once and then goes on.
+  void SetQuiet(bool quiet) noexcept { quiet_ = quiet; }
+  /// \returns true if a closed connection would make an incomplete response look complete, so that
+  ///   a crash has to reset the connections.
+  [[nodiscard]] bool has_open_ended_body() const noexcept { return open_ended_bodies_ > 0; }
 
   [[nodiscard]] bool running() const noexcept { return server_ != nullptr; }
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
@@ -54,6 +60,9 @@
   std::string id_;
   std::unique_ptr<http::IncomingServer> server_;
   std::uint32_t running_requests_ = 0;
+  std::uint32_t open_ended_bodies_ = 0;
+  bool quiet_ = false;
+  std::vector<std::weak_ptr<Run>> runs_;
   /// Shared with the requests of the current lifetime; set to false when it ends.
   std::shared_ptr<bool> lifetime_;
 };
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
     "kill_entry",    "pause_entry",      "stop_entry",    "kill_member",     "pause_member",
     "stop_member",   "kill_all_members", "wipe_member",   "tear_log",        "reload",
     "delay_link",    "reset_link",       "cut_to_server", "cut_from_server", "silence_link",
-    "crash_backend", "replace_backend",  "platform_down"};
+    "crash_backend", "replace_backend",  "platform_down", "quiet_backend"};
 
 constexpr milliseconds kMinFaultDuration{200};
 constexpr milliseconds kMaxFaultDuration{4000};
@@ -36,6 +36,7 @@
     case FaultKind::kCrashBackend:
     case FaultKind::kReplaceBackend:
     case FaultKind::kPlatformDown:
+    case FaultKind::kQuietBackend:
       return false;
     default:
       return true;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -31,8 +31,10 @@
   kCrashBackend,
   kReplaceBackend,
   kPlatformDown,
+  /// The server's streams fall silent and go on.
+  kQuietBackend,
 };
-inline constexpr std::size_t kFaultKinds = 18;
+inline constexpr std::size_t kFaultKinds = 19;
 
 [[nodiscard]] std::string_view NameOf(FaultKind kind);
 
--- a/soak/invariant_checkers.cc
+++ b/soak/invariant_checkers.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "soak/response_plan.h"
+
 namespace briarwood::soak {
 namespace {
 
@@ -42,7 +44,7 @@
 std::string RequestChecker::ExpectedBody(const std::string& id, CallKind kind) {
   if (kind == CallKind::kOnce || kind == CallKind::kRetryable) return "answer to " + id;
   std::string body;
-  for (int number = 1; number <= kEvents; ++number) body += Event(id, number);
+  for (int number = 1; number <= EventCount(id); ++number) body += Event(id, number);
   return body;
 }
 
--- a/soak/invariant_checkers.h
+++ b/soak/invariant_checkers.h
@@ -78,8 +78,6 @@
 
   /// \returns the body of a complete successful response to a request.
   [[nodiscard]] static std::string ExpectedBody(const std::string& id, CallKind kind);
-  /// Number of events in a complete stream.
-  static constexpr int kEvents = 10;
   /// \returns an event of the stream for a request; numbers start at 1.
   [[nodiscard]] static std::string Event(const std::string& id, int number);
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -38,6 +38,8 @@
 /// Minimum share of calls that are served in the calm phase.
 constexpr double kMinServedShareWhenCalm = 0.99;
 constexpr milliseconds kLinkDelay{40};
+/// Time for the callers' last calls to end.
+constexpr seconds kLastCallPeriod{9};
 
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
@@ -153,6 +155,14 @@
     backend.end_at.reset();
   }
 
+  /// Ends the server's process: its connections are reset, or closed inside an event.
+  void CrashBackend(Backend& backend, common::Time now) {
+    const bool reset = random_.Chance(0.5) || backend.server->has_open_ended_body();
+    if (reset) backend.link->Reset();
+    backend.server->Crash(/*inside_event=*/true);
+    backend.start_at = now + kBackendRestartDelay;
+  }
+
   void StartPlatform() {
     auto platform = FakePlatform::Start(
         loop_, network_ + kPlatformHost + kPort, [this] { return ListServers(); }, usage_);
@@ -237,7 +247,7 @@
       callers_.push_back(std::make_shared<Caller>(
           loop_,
           CallerOptions{
-              .name = "call-" + std::to_string(i),
+              .name = "s" + std::to_string(options_.seed) + "-call-" + std::to_string(i),
               .seed = random_.Next(),
               .customer = first ? kCustomerA : kCustomerB,
               .key = first ? kKeyA : kKeyB,
@@ -276,9 +286,8 @@
     for (Daemon* daemon : Daemons()) daemon->Check(now, log_);
     for (Backend& backend : backends_) {
       if (backend.end_at && now >= *backend.end_at) {
-        backend.server->Crash();
+        CrashBackend(backend, now);
         backend.end_at.reset();
-        backend.start_at = now + kBackendRestartDelay;
       }
       if (backend.start_at && now >= *backend.start_at) StartBackend(backend);
     }
@@ -368,8 +377,7 @@
         link.Silence();
         break;
       case FaultKind::kCrashBackend:
-        backend.server->Crash();
-        backend.start_at = now + kBackendRestartDelay;
+        CrashBackend(backend, now);
         break;
       case FaultKind::kReplaceBackend:
         if (backend.draining || backend.start_at) break;
@@ -380,6 +388,10 @@
         platform_->SetUnavailable(true);
         EndAfter(fault, now, [this] { platform_->SetUnavailable(false); });
         break;
+      case FaultKind::kQuietBackend:
+        backend.server->SetQuiet(true);
+        EndAfter(fault, now, [&backend] { backend.server->SetQuiet(false); });
+        break;
     }
   }
 
@@ -398,7 +410,7 @@
     for (const auto& caller : callers_) caller->Stop();
     for (const auto& writer : writers_) writer->Stop();
     probe_->Stop();
-    RunFor(seconds(1));
+    RunFor(kLastCallPeriod);
     const auto max_failures =
         static_cast<std::size_t>(static_cast<double>(calm_calls_) * (1 - kMinServedShareWhenCalm));
     if (calm_failures_.size() <= max_failures) return;
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -134,7 +134,7 @@
     return !closed_ && in_request_ && number == request_number_;
   }
   void Respond(const ResponseHead& head, const std::string& body);
-  void StartStream(const ResponseHead& head);
+  void StartStream(const ResponseHead& head, BodyFraming framing);
   void Write(std::string_view piece);
   void EndStream();
   void SetOnClose(std::function<void()> callback);
@@ -228,8 +228,8 @@
     ended_ = true;
     connection_->Respond(head, body);
   }
-  void StartStream(const ResponseHead& head) override {
-    if (connection_->IsInProgress(number_) && !ended_) connection_->StartStream(head);
+  void StartStream(const ResponseHead& head, BodyFraming framing) override {
+    if (connection_->IsInProgress(number_) && !ended_) connection_->StartStream(head, framing);
   }
   void Write(std::string_view piece) override {
     if (connection_->IsInProgress(number_) && !ended_) connection_->Write(piece);
@@ -434,10 +434,10 @@
   Send(std::move(bytes));
 }
 
-void IncomingConnection::StartStream(const ResponseHead& head) {
+void IncomingConnection::StartStream(const ResponseHead& head, BodyFraming framing) {
   if (response_started_) return;
   response_started_ = true;
-  chunked_ = !peer_is_http_1_0_;
+  chunked_ = framing == BodyFraming::kChunked && !peer_is_http_1_0_;
   close_after_response_ = close_after_response_ || server_->keep_alive_disabled() || !chunked_;
   Send(SerializeResponse(head, chunked_ ? BodyFraming::kChunked : BodyFraming::kClose, 0,
                          close_after_response_));
