Check in the soak that answers of sound servers are not lost

The soak counted incomplete and failed answers, and had no opinion about them outside its calm phase: an entry could close a stream whose server was at work, and each run passed. A log of disturbances now records when faults affected a process, a backend server or a link. An answer that ran on a server must not end without its complete end, nor as 500, 502 or 504 before its time limit, unless a fault affected the entry, the server or the links of its path. At a planned stop the entry may cut only streams from before its SIGTERM, in the last sixth of the grace period. A request that no server ran must not end without any answer more than 200 ms after it was sent.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -61,12 +61,25 @@
   return head;
 }
 
+void Caller::Connect(common::Time now) {
+  if (connection_) connection_->Close();
+  entry_ = &options_.entries[random_.Below(options_.entries.size())];
+  entry_lifetime_ = entry_->lifetime();
+  connected_at_ = now;
+  connection_ = http::OutgoingConnection::Create(loop_, *http::ParseEndpoint(entry_->address));
+}
+
 void Caller::Send() {
   const CallRoute& route = kCallRoutes[random_.Below(std::size(kCallRoutes))];
   const common::Time now = common::BootClock::now();
+  if (!connection_ || !connection_->reusable() || connection_->HasInput()) Connect(now);
   in_call_ = true;
   outcome_ = {.id = options_.name + "-" + std::to_string(++number_),
               .kind = route.kind,
+              .entry = entry_->name,
+              .entry_address = entry_->address,
+              .entry_lifetime = entry_lifetime_,
+              .connected_at = connected_at_,
               .sent_at = now,
               .ended_at = now};
   response_ = {};
@@ -74,10 +87,6 @@
   checker_.OnSent(
       outcome_.id,
       {.kind = route.kind, .target = route.path, .body = body, .customer = options_.customer});
-  if (!connection_ || !connection_->reusable()) {
-    const std::string& entry = options_.entries[random_.Below(options_.entries.size())];
-    connection_ = http::OutgoingConnection::Create(loop_, *http::ParseEndpoint(entry));
-  }
   const std::uint64_t number = number_;
   const auto self = shared_from_this();
   connection_->Send(http::SerializeRequest(MakeHead(route.path), body.size(), /*has_body=*/true),
@@ -111,12 +120,14 @@
   }
   outcome_.status = response_.status;
   outcome_.complete = response_.complete;
+  outcome_.not_sent = end == http::CallEnd::kNotSent;
   Finish();
 }
 
 void Caller::Abandon(bool early) {
   connection_->Close();
   connection_.reset();
+  outcome_.status = response_.status;
   outcome_.disconnected = early;
   Finish();
 }
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -9,36 +9,24 @@
 #include "briarwood/common/random.h"
 #include "briarwood/http/event_loop.h"
 #include "briarwood/http/outgoing.h"
+#include "soak/call_outcome.h"
 #include "soak/invariant_checkers.h"
+#include "soak/listener.h"
 
 namespace briarwood::soak {
 
-/// Result of one call, for the statistics of a soak run.
-struct CallOutcome {
-  std::string id;
-  CallKind kind = CallKind::kOnce;
-  common::Time sent_at;
-  common::Time ended_at;
-  /// HTTP status; 0 if there was no response.
-  std::uint16_t status = 0;
-  bool complete = false;
-  /// The caller closed the connection before the response was complete.
-  bool disconnected = false;
-};
-
 struct CallerOptions {
   /// Prefix of the request ids of this caller.
   std::string name;
   std::uint64_t seed = 1;
   std::string customer;
   std::string key;
-  /// Addresses of the entries.
-  std::vector<std::string> entries;
+  std::vector<Listener> entries;
   std::function<void(const CallOutcome& outcome)> on_outcome;
 };
 
-/// Sends calls sequentially and reuses its connection while it is usable. Not thread-safe: use it
-/// on the thread of the event loop.
+/// Sends calls sequentially. Reuses its connection until the entry closes it, also while the entry
+/// stops. Not thread-safe: use it on the thread of the event loop.
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
   Caller(http::EventLoop& loop, CallerOptions options, RequestChecker& checker);
@@ -46,10 +34,12 @@
   void Start();
   /// Stops after the call in progress.
   void Stop() noexcept { stopped_ = true; }
+  [[nodiscard]] bool in_call() const noexcept { return in_call_; }
 
  private:
   void ScheduleNext();
   void Send();
+  void Connect(common::Time now);
   [[nodiscard]] http::RequestHead MakeHead(const std::string& path) const;
   void OnEnd(http::CallEnd end);
   void Abandon(bool early);
@@ -61,6 +51,10 @@
   common::Random random_;
   http::Timer timer_;
   std::shared_ptr<http::OutgoingConnection> connection_;
+  /// Entry of the connection.
+  const Listener* entry_ = nullptr;
+  std::uint64_t entry_lifetime_ = 0;
+  common::Time connected_at_;
   std::uint64_t number_ = 0;
   CallOutcome outcome_;
   ReceivedResponse response_;
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -148,12 +148,13 @@
   if (process_ != nullptr) process_->Signal(SIGCONT);
 }
 
-void Daemon::Stop(common::Time now) {
-  if (process_ == nullptr || stopping_) return;
+bool Daemon::Stop(common::Time now) {
+  if (process_ == nullptr || stopping_) return false;
   process_->Signal(SIGTERM);
   stopping_ = true;
   stop_sent_at_ = now;
   stop_deadline_ = now + kStopTimeout;
+  return true;
 }
 
 void Daemon::Reload() {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -48,7 +48,8 @@
   void Pause();
   void Resume();
   /// Sends SIGTERM; the process is restarted after its exit.
-  void Stop(common::Time now);
+  /// \returns false if there is no process or it is stopping already.
+  bool Stop(common::Time now);
   void Reload();
   /// Kills the process and deletes its data folder.
   void Wipe(common::Time now);
--- a/soak/operators.h
+++ b/soak/operators.h
@@ -9,17 +9,10 @@
 #include "briarwood/common/random.h"
 #include "briarwood/http/event_loop.h"
 #include "soak/invariant_checkers.h"
+#include "soak/listener.h"
 
 namespace briarwood::soak {
 
-/// HTTP listener of a control member or an entry.
-struct Listener {
-  std::string name;
-  std::string address;
-  /// \returns the lifetime of the process that serves the listener (Daemon::lifetime).
-  std::function<std::uint64_t()> lifetime;
-};
-
 /// Counter that concurrent writers share; versions increase by random steps.
 struct VersionSequence {
   std::uint64_t last = 0;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -12,8 +12,10 @@
 #include <utility>
 #include <vector>
 
+#include "soak/answer_checker.h"
 #include "soak/caller.h"
 #include "soak/configuration_source.h"
+#include "soak/disturbance_log.h"
 #include "soak/fake_backend.h"
 #include "soak/fake_platform.h"
 #include "soak/fault_plan.h"
@@ -38,8 +40,8 @@
 /// Minimum share of calls that are served in the calm phase.
 constexpr double kMinServedShareWhenCalm = 0.99;
 constexpr milliseconds kLinkDelay{40};
-/// Time for the callers' last calls to end.
-constexpr seconds kLastCallPeriod{9};
+/// Maximum time until the callers' last calls have ended.
+constexpr seconds kLastCallTimeout{12};
 
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
@@ -61,8 +63,8 @@
   std::optional<common::Time> end_at;
 };
 
-/// Action that ends a fault.
-struct FaultEnd {
+/// Later step of a fault, such as its end.
+struct FaultStep {
   common::Time at;
   std::function<void()> run;
 };
@@ -131,12 +133,15 @@
       const std::size_t host = kFirstBackendHost + i;
       constexpr std::uint32_t kStreamSlots = 16;
       backend.server = std::make_unique<FakeBackend>(
-          loop_, BackendOptions{.service = plain ? "app" : "llm",
-                                .listen = Address(host),
-                                .slots = plain ? 8 : kStreamSlots,
-                                .on_run = [this](const RunCall& run) {
-                                  requests_.OnRun(run, common::BootClock::now());
-                                }});
+          loop_,
+          BackendOptions{.service = plain ? "app" : "llm",
+                         .listen = Address(host),
+                         .slots = plain ? 8 : kStreamSlots,
+                         .on_run = [this, link = Address(host + kProxyOffset)](const RunCall& run) {
+                           const common::Time now = common::BootClock::now();
+                           requests_.OnRun(run, now);
+                           answers_.OnRun(run.id, run.backend_server, link, now);
+                         }});
       backend.link = ValueOrThrow(Link::Start(loop_, Address(host + kProxyOffset), Address(host)));
       backend.failure_domain = "domain-" + std::to_string(i % 3);
       StartBackend(backend);
@@ -157,6 +162,7 @@
 
   /// Ends the server's process: its connections are reset, or closed inside an event.
   void CrashBackend(Backend& backend, common::Time now) {
+    disturbances_.Add(backend.server->id(), now);
     const bool reset = random_.Chance(0.5) || backend.server->has_open_ended_body();
     if (reset) backend.link->Reset();
     backend.server->Crash(/*inside_event=*/true);
@@ -239,9 +245,6 @@
         std::make_shared<ConfigurationProbe>(loop_, random_.Next(), ListenersOf(members_),
                                              ListenersOf(entries_), configurations_, requests_);
     probe_->Start();
-    std::vector<std::string> addresses;
-    addresses.reserve(entries_.size());
-    for (const auto& entry : entries_) addresses.push_back(entry->http_link().address());
     for (std::size_t i = 0; i < options_.callers; ++i) {
       const bool first = i % 2 == 0;
       callers_.push_back(std::make_shared<Caller>(
@@ -251,7 +254,7 @@
               .seed = random_.Next(),
               .customer = first ? kCustomerA : kCustomerB,
               .key = first ? kKeyA : kKeyB,
-              .entries = addresses,
+              .entries = ListenersOf(entries_),
               .on_outcome = [this](const CallOutcome& outcome) { CountOutcome(outcome); }},
           requests_));
       callers_.back()->Start();
@@ -260,6 +263,7 @@
 
   void CountOutcome(const CallOutcome& outcome) {
     constexpr std::uint16_t kUnavailable = 503;
+    answers_.OnEnded(outcome, TimeoutOf(outcome.kind));
     ++counts_.calls;
     if (outcome.disconnected) {
       ++counts_.disconnected;
@@ -291,16 +295,16 @@
       }
       if (backend.start_at && now >= *backend.start_at) StartBackend(backend);
     }
-    std::vector<FaultEnd> due;
-    for (auto fault_end = fault_ends_.begin(); fault_end != fault_ends_.end();) {
-      if (fault_end->at > now) {
-        ++fault_end;
+    std::vector<FaultStep> due;
+    for (auto step = fault_steps_.begin(); step != fault_steps_.end();) {
+      if (step->at > now) {
+        ++step;
         continue;
       }
-      due.push_back(std::move(*fault_end));
-      fault_end = fault_ends_.erase(fault_end);
+      due.push_back(std::move(*step));
+      step = fault_steps_.erase(step);
     }
-    for (const FaultEnd& fault_end : due) fault_end.run();
+    for (const FaultStep& step : due) step.run();
   }
 
   void RunFor(common::Duration duration) {
@@ -315,11 +319,25 @@
       ApplyFault(fault, common::BootClock::now());
     }
     while (common::BootClock::now() < faults_since_ + options_.faults) Step();
-    for (const FaultEnd& fault_end : std::exchange(fault_ends_, {})) fault_end.run();
+    for (const FaultStep& step : std::exchange(fault_steps_, {})) step.run();
+  }
+
+  void RunAt(common::Time at, std::function<void()> run) {
+    fault_steps_.push_back({.at = at, .run = std::move(run)});
   }
 
-  void EndAfter(const PlannedFault& fault, common::Time now, std::function<void()> fault_end) {
-    fault_ends_.push_back({.at = now + fault.duration, .run = std::move(fault_end)});
+  /// Records a fault of `part` that lasts until `fault_end` runs.
+  void EndAfter(const PlannedFault& fault, common::Time now, const std::string& part,
+                const std::function<void()>& fault_end) {
+    disturbances_.Begin(part, now);
+    RunAt(now + fault.duration, [this, part, fault_end] {
+      fault_end();
+      disturbances_.End(part, common::BootClock::now());
+    });
+  }
+
+  void StopEntry(Daemon& entry, common::Time now) {
+    if (entry.Stop(now)) answers_.OnStopped(entry.name(), entry.lifetime(), now);
   }
 
   void ApplyFault(const PlannedFault& fault, common::Time now) {
@@ -329,13 +347,14 @@
     Backend& backend = backends_[fault.target % backends_.size()];
     switch (fault.kind) {
       case FaultKind::kKillEntry:
+        disturbances_.Add(entry.name(), now);
         entry.Kill(now);
         break;
       case FaultKind::kPauseEntry:
         Pause(entry, fault, now);
         break;
       case FaultKind::kStopEntry:
-        entry.Stop(now);
+        StopEntry(entry, now);
         break;
       case FaultKind::kKillMember:
         member.Kill(now);
@@ -360,20 +379,22 @@
         break;
       case FaultKind::kDelayLink:
         link.SetDelay(kLinkDelay);
-        EndAfter(fault, now, [&link] { link.SetDelay(milliseconds(0)); });
+        EndAfter(fault, now, link.address(), [&link] { link.SetDelay(milliseconds(0)); });
         break;
       case FaultKind::kResetLink:
+        disturbances_.Add(link.address(), now);
         link.Reset();
         break;
       case FaultKind::kCutToServer:
         link.CutToServer(true);
-        EndAfter(fault, now, [&link] { link.CutToServer(false); });
+        EndAfter(fault, now, link.address(), [&link] { link.CutToServer(false); });
         break;
       case FaultKind::kCutFromServer:
         link.CutFromServer(true);
-        EndAfter(fault, now, [&link] { link.CutFromServer(false); });
+        EndAfter(fault, now, link.address(), [&link] { link.CutFromServer(false); });
         break;
       case FaultKind::kSilenceLink:
+        disturbances_.Add(link.address(), now);
         link.Silence();
         break;
       case FaultKind::kCrashBackend:
@@ -386,18 +407,19 @@
         break;
       case FaultKind::kPlatformDown:
         platform_->SetUnavailable(true);
-        EndAfter(fault, now, [this] { platform_->SetUnavailable(false); });
+        EndAfter(fault, now, platform_link_->address(),
+                 [this] { platform_->SetUnavailable(false); });
         break;
       case FaultKind::kQuietBackend:
         backend.server->SetQuiet(true);
-        EndAfter(fault, now, [&backend] { backend.server->SetQuiet(false); });
+        RunAt(now + fault.duration, [&backend] { backend.server->SetQuiet(false); });
         break;
     }
   }
 
   void Pause(Daemon& daemon, const PlannedFault& fault, common::Time now) {
     daemon.Pause();
-    EndAfter(fault, now, [&daemon] { daemon.Resume(); });
+    EndAfter(fault, now, daemon.name(), [&daemon] { daemon.Resume(); });
   }
 
   void RunCalm() {
@@ -410,7 +432,13 @@
     for (const auto& caller : callers_) caller->Stop();
     for (const auto& writer : writers_) writer->Stop();
     probe_->Stop();
-    RunFor(kLastCallPeriod);
+    RunFor(seconds(1));
+    const common::Time last_call_deadline = common::BootClock::now() + kLastCallTimeout;
+    const auto in_call = [](const auto& caller) { return caller->in_call(); };
+    while (common::BootClock::now() < last_call_deadline &&
+           std::any_of(callers_.begin(), callers_.end(), in_call)) {
+      Step();
+    }
     const auto max_failures =
         static_cast<std::size_t>(static_cast<double>(calm_calls_) * (1 - kMinServedShareWhenCalm));
     if (calm_failures_.size() <= max_failures) return;
@@ -477,7 +505,11 @@
             << requests_.runs() << "\ncalm: " << calm_calls_ << " calls, " << calm_failures_.size()
             << " not served\nconfigurations: " << configurations_.acknowledgements()
             << " acknowledged, " << configurations_.reads() << " reads; usage windows "
-            << usage_.reports().size() << "; members replaced " << unexpected_exits_ << "\n";
+            << usage_.reports().size() << "; members replaced " << unexpected_exits_
+            << "\nplanned stops of entries: " << answers_.stops()
+            << ", answers cut: " << answers_.cut_before_stop() << " sent before SIGTERM, "
+            << answers_.cut_after_stop() << " after it; calls on kept connections after SIGTERM "
+            << answers_.calls_on_kept_connections() << "\n";
     for (const Violation& violation : log_.kept()) {
       report_ << "violation: " << violation.invariant << ": " << violation.detail << " (at "
               << common::ToSeconds(violation.at - faults_since_) << " s)\n";
@@ -497,6 +529,8 @@
   RequestChecker requests_{log_};
   ConfigurationChecker configurations_{log_, {}};
   UsageChecker usage_{log_};
+  DisturbanceLog disturbances_;
+  AnswerChecker answers_{log_, disturbances_, {}};
   VersionSequence versions_;
   std::vector<Backend> backends_;
   std::unique_ptr<FakePlatform> platform_;
@@ -508,7 +542,7 @@
   std::shared_ptr<ConfigurationProbe> probe_;
   std::vector<std::shared_ptr<Caller>> callers_;
   std::vector<PlannedFault> plan_;
-  std::vector<FaultEnd> fault_ends_;
+  std::vector<FaultStep> fault_steps_;
   common::Time faults_since_;
   CallCounts counts_;
   std::optional<common::Time> calm_since_;
