Stop the soak's entries in turn, with callers that wait on open connections

Planned stops came at random, and every caller sent its next call within 90 ms, so that few calls came on an idle connection of a stopping entry. The new fault stop_entries_in_turn stops all entries 1.2 s apart, with changed settings 100 ms before each SIGTERM and 700 ms after it, while the writers go on changing the configuration.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -12,6 +12,8 @@
 
 constexpr milliseconds kMinCallDelay{10};
 constexpr std::uint64_t kCallDelaySpreadMs = 80;
+constexpr milliseconds kMinSlowCallDelay{500};
+constexpr std::uint64_t kSlowCallDelaySpreadMs = 2500;
 constexpr milliseconds kConnectTimeout{1000};
 /// Additional wait for a response after the deadline of the call.
 constexpr milliseconds kResponseGracePeriod{1000};
@@ -44,7 +46,9 @@
     if (connection_) connection_->Close();
     return;
   }
-  timer_.expires_after(kMinCallDelay + milliseconds(random_.Below(kCallDelaySpreadMs)));
+  timer_.expires_after(options_.slow
+                           ? kMinSlowCallDelay + milliseconds(random_.Below(kSlowCallDelaySpreadMs))
+                           : kMinCallDelay + milliseconds(random_.Below(kCallDelaySpreadMs)));
   timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     if (!error) self->Send();
   });
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -22,6 +22,8 @@
   std::string customer;
   std::string key;
   std::vector<Listener> entries;
+  /// Pauses for seconds between calls, so that its connection is idle most of the time.
+  bool slow = false;
   std::function<void(const CallOutcome& outcome)> on_outcome;
 };
 
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -12,10 +12,11 @@
 using std::chrono::seconds;
 
 constexpr std::string_view kFaultNames[kFaultKinds] = {
-    "kill_entry",    "pause_entry",      "stop_entry",    "kill_member",     "pause_member",
-    "stop_member",   "kill_all_members", "wipe_member",   "tear_log",        "reload",
-    "delay_link",    "reset_link",       "cut_to_server", "cut_from_server", "silence_link",
-    "crash_backend", "replace_backend",  "platform_down", "quiet_backend"};
+    "kill_entry",      "pause_entry",     "stop_entry",       "kill_member",
+    "pause_member",    "stop_member",     "kill_all_members", "wipe_member",
+    "tear_log",        "reload",          "delay_link",       "reset_link",
+    "cut_to_server",   "cut_from_server", "silence_link",     "crash_backend",
+    "replace_backend", "platform_down",   "quiet_backend",    "stop_entries_in_turn"};
 
 constexpr milliseconds kMinFaultDuration{200};
 constexpr milliseconds kMaxFaultDuration{4000};
@@ -37,6 +38,7 @@
     case FaultKind::kReplaceBackend:
     case FaultKind::kPlatformDown:
     case FaultKind::kQuietBackend:
+    case FaultKind::kStopEntriesInTurn:
       return false;
     default:
       return true;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -33,8 +33,10 @@
   kPlatformDown,
   /// The server's streams fall silent and go on.
   kQuietBackend,
+  /// Stops all entries one after the other, with changed settings before and during each stop.
+  kStopEntriesInTurn,
 };
-inline constexpr std::size_t kFaultKinds = 19;
+inline constexpr std::size_t kFaultKinds = 20;
 
 [[nodiscard]] std::string_view NameOf(FaultKind kind);
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -40,9 +40,15 @@
 /// Minimum share of calls that are served in the calm phase.
 constexpr double kMinServedShareWhenCalm = 0.99;
 constexpr milliseconds kLinkDelay{40};
+/// Times between the steps of FaultKind::kStopEntriesInTurn.
+constexpr milliseconds kStopInterval{1200};
+constexpr milliseconds kReloadToStop{100};
+constexpr milliseconds kStopToReload{700};
 /// Maximum time until the callers' last calls have ended.
 constexpr seconds kLastCallTimeout{12};
 
+/// One caller of this many is slow.
+constexpr std::size_t kSlowCallerInterval = 4;
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
 constexpr std::size_t kFirstBackendHost = 70;
@@ -255,6 +261,7 @@
               .customer = first ? kCustomerA : kCustomerB,
               .key = first ? kKeyA : kKeyB,
               .entries = ListenersOf(entries_),
+              .slow = i % kSlowCallerInterval == kSlowCallerInterval - 1,
               .on_outcome = [this](const CallOutcome& outcome) { CountOutcome(outcome); }},
           requests_));
       callers_.back()->Start();
@@ -340,6 +347,16 @@
     if (entry.Stop(now)) answers_.OnStopped(entry.name(), entry.lifetime(), now);
   }
 
+  void StopEntriesInTurn(common::Time now) {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      Daemon& entry = *entries_[i];
+      const common::Time at = now + kStopInterval * static_cast<int>(i);
+      RunAt(at, [&entry] { entry.Reload(); });
+      RunAt(at + kReloadToStop, [this, &entry] { StopEntry(entry, common::BootClock::now()); });
+      RunAt(at + kReloadToStop + kStopToReload, [&entry] { entry.Reload(); });
+    }
+  }
+
   void ApplyFault(const PlannedFault& fault, common::Time now) {
     Daemon& member = *members_[fault.target % members_.size()];
     Daemon& entry = *entries_[fault.target % entries_.size()];
@@ -414,6 +431,9 @@
         backend.server->SetQuiet(true);
         RunAt(now + fault.duration, [&backend] { backend.server->SetQuiet(false); });
         break;
+      case FaultKind::kStopEntriesInTurn:
+        StopEntriesInTurn(now);
+        break;
     }
   }
 
