Do not blame a process for a planned stop that a pause delayed, and record the soak's faults

With stops of all entries in turn, "planned stop" was reported for processes that could not run. A process that no pause touched between SIGTERM and the deadline is still reported, as before; a process killed after such a pause counts as disturbed.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -130,6 +130,7 @@
   ++lifetime_;
   started_at_ = common::BootClock::now();
   stopping_ = false;
+  paused_ = false;
   restart_at_.reset();
 }
 
@@ -141,17 +142,23 @@
 }
 
 void Daemon::Pause() {
-  if (process_ != nullptr) process_->Signal(SIGSTOP);
+  if (process_ == nullptr) return;
+  process_->Signal(SIGSTOP);
+  paused_ = true;
+  paused_in_stop_ = paused_in_stop_ || stopping_;
 }
 
 void Daemon::Resume() {
-  if (process_ != nullptr) process_->Signal(SIGCONT);
+  if (process_ == nullptr) return;
+  process_->Signal(SIGCONT);
+  paused_ = false;
 }
 
 bool Daemon::Stop(common::Time now) {
   if (process_ == nullptr || stopping_) return false;
   process_->Signal(SIGTERM);
   stopping_ = true;
+  paused_in_stop_ = paused_;
   stop_sent_at_ = now;
   stop_deadline_ = now + kStopTimeout;
   return true;
@@ -184,14 +191,18 @@
   for (std::size_t i = 0; i < kTornRecordBytes; ++i) log.put(static_cast<char>(random.Next()));
 }
 
-void Daemon::Check(common::Time now, ViolationLog& log) {
+bool Daemon::Check(common::Time now, ViolationLog& log) {
   if (process_ != nullptr) {
     const std::optional<int> status = process_->PollExitStatus();
     if (!status && stopping_ && now > stop_deadline_) {
-      log.Report(now, "planned stop", name_ + " did not exit before the stop timeout");
+      // The grace period of a process starts when it can handle the signal.
+      if (!paused_in_stop_) {
+        log.Report(now, "planned stop", name_ + " did not exit before the stop timeout");
+      }
       Kill(now);
+      return !paused_in_stop_;
     }
-    if (!status) return;
+    if (!status) return true;
     // A SIGTERM that arrives before the daemon has blocked its signals terminates it immediately;
     // it has not served anything by then.
     const bool exited_at_start = WIFSIGNALED(*status) && WTERMSIG(*status) == SIGTERM &&
@@ -209,6 +220,7 @@
     restart_at_ = now + kRestartDelay;
   }
   if (restart_at_ && now >= *restart_at_) Start(/*bootstrap=*/false);
+  return true;
 }
 
 std::optional<int> Daemon::Shutdown(milliseconds timeout) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -55,8 +55,10 @@
   void Wipe(common::Time now);
   /// Kills the process and appends an incomplete record to its log.
   void TearLog(common::Time now, std::uint64_t seed);
-  /// Handles an exit of the process, and restarts it after the delay.
-  void Check(common::Time now, ViolationLog& log);
+  /// Handles an exit of the process, and restarts it after the delay. Kills a process that does not
+  /// end within the grace period of a stop, which is a violation unless a pause delayed the stop.
+  /// \returns false if it killed a process whose stop a pause had delayed.
+  bool Check(common::Time now, ViolationLog& log);
   /// Stops the process without a restart.
   /// \returns the wait status, or nothing if the process did not exit in time.
   std::optional<int> Shutdown(std::chrono::milliseconds timeout);
@@ -88,6 +90,10 @@
   std::uint64_t lifetime_ = 0;
   std::size_t unexpected_exits_ = 0;
   bool stopping_ = false;
+  /// The current process is paused.
+  bool paused_ = false;
+  /// A pause overlapped the planned stop in progress.
+  bool paused_in_stop_ = false;
   bool reloaded_ = false;
   common::Time started_at_;
   common::Time stop_sent_at_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -294,7 +295,9 @@
     if (loop_.stopped()) loop_.restart();
     loop_.run_for(kStepDuration);
     const common::Time now = common::BootClock::now();
-    for (Daemon* daemon : Daemons()) daemon->Check(now, log_);
+    for (Daemon* daemon : Daemons()) {
+      if (!daemon->Check(now, log_)) disturbances_.Add(daemon->name(), now);
+    }
     for (Backend& backend : backends_) {
       if (backend.end_at && now >= *backend.end_at) {
         CrashBackend(backend, now);
@@ -357,7 +360,18 @@
     }
   }
 
+  void RecordFault(const PlannedFault& fault, common::Time now) const {
+    const auto at = std::chrono::duration_cast<milliseconds>(now - faults_since_).count();
+    const auto lasts = std::chrono::duration_cast<milliseconds>(fault.duration).count();
+    std::ofstream(options_.folder + "/faults.txt", std::ios::app)
+        << at << " ms: " << NameOf(fault.kind) << ", entry " << fault.target % entries_.size() + 1
+        << " or member " << fault.target % members_.size() + 1 << " or link "
+        << links_[fault.target % links_.size()]->address() << " or server "
+        << backends_[fault.target % backends_.size()].server->id() << ", for " << lasts << " ms\n";
+  }
+
   void ApplyFault(const PlannedFault& fault, common::Time now) {
+    RecordFault(fault, now);
     Daemon& member = *members_[fault.target % members_.size()];
     Daemon& entry = *entries_[fault.target % entries_.size()];
     Link& link = *links_[fault.target % links_.size()];
