Crash the soak's servers on one part of a prompt, and check that its requests are held back

The other faults of such a run leave the members and most entries in touch. The requests of all callers now have parts of their own. Nothing holds such requests back today, and Soak.CrashOnPart is expected to fail until it does.

--- a/cmake/briarwood.cmake
+++ b/cmake/briarwood.cmake
@@ -102,6 +102,12 @@
                      --calm-seconds 4)
     set_tests_properties(Soak.Seed${seed} PROPERTIES TIMEOUT 120)
   endforeach()
+  add_test(NAME Soak.CrashOnPart
+           COMMAND briarwood-soak --programs ${PROJECT_BINARY_DIR}
+                   --templates ${PROJECT_SOURCE_DIR}/platform
+                   --folder ${PROJECT_BINARY_DIR}/soak/crash-on-part --seed 1 --crash-on-part
+                   --faults-seconds 25 --calm-seconds 4)
+  set_tests_properties(Soak.CrashOnPart PROPERTIES TIMEOUT 180)
 endfunction()
 
 # One test program per folder of tests/: tests/<module>/*_test.cc.
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "briarwood/common/digest.h"
 #include "platform/names.h"
 #include "soak/configuration_source.h"
 
@@ -29,6 +30,8 @@
                                      {CallKind::kRetryable, "/read/slot"},
                                      {CallKind::kStream, "/ask/question"},
                                      {CallKind::kResumableStream, "/draft/plan"}};
+constexpr std::size_t kFirstStreamRoute = 2;
+constexpr std::uint64_t kSharedParts = 6;
 
 }  // namespace
 
@@ -54,6 +57,15 @@
   });
 }
 
+std::string Caller::PromptParts() const {
+  // Requests share the first part; some share the second, and the last belongs to the request.
+  const std::uint64_t hash = common::Hash64(outcome_.id);
+  const std::string second = "b" + std::to_string(hash % kSharedParts) + ":150,";
+  const std::string extra = options_.extra_part.empty() ? "" : options_.extra_part + ":60,";
+  return "a1:400," + (hash % 2 == 0 ? extra + second : second + extra) + std::to_string(hash) +
+         ":50";
+}
+
 http::RequestHead Caller::MakeHead(const std::string& path) const {
   http::RequestHead head{.method = "POST", .target = path, .headers = {}};
   head.headers.Add("Host", kHost);
@@ -61,7 +73,7 @@
   head.headers.Add(platform::kAuthorization, "Bearer " + options_.key);
   head.headers.Add(platform::kDeadlineMs, std::to_string(TimeoutOf(outcome_.kind).count()));
   head.headers.Add(platform::kTokenUsage, "600,80");
-  head.headers.Add(platform::kPrefixHash, "a1:400,b2:150,c3:50");
+  head.headers.Add(platform::kPrefixHash, PromptParts());
   return head;
 }
 
@@ -74,7 +86,8 @@
 }
 
 void Caller::Send() {
-  const CallRoute& route = kCallRoutes[random_.Below(std::size(kCallRoutes))];
+  const std::size_t first = options_.extra_part.empty() ? 0 : kFirstStreamRoute;
+  const CallRoute& route = kCallRoutes[first + random_.Below(std::size(kCallRoutes) - first)];
   const common::Time now = common::BootClock::now();
   if (!connection_ || !connection_->reusable() || connection_->HasInput()) Connect(now);
   in_call_ = true;
@@ -88,9 +101,11 @@
               .ended_at = now};
   response_ = {};
   const std::string body = "body of " + outcome_.id;
-  checker_.OnSent(
-      outcome_.id,
-      {.kind = route.kind, .target = route.path, .body = body, .customer = options_.customer});
+  checker_.OnSent(outcome_.id, {.kind = route.kind,
+                                .target = route.path,
+                                .body = body,
+                                .customer = options_.customer,
+                                .entry = entry_->name});
   const std::uint64_t number = number_;
   const auto self = shared_from_this();
   connection_->Send(http::SerializeRequest(MakeHead(route.path), body.size(), /*has_body=*/true),
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -24,6 +24,8 @@
   std::vector<Listener> entries;
   /// Pauses for seconds between calls, so that its connection is idle most of the time.
   bool slow = false;
+  /// Part of the prompts of all calls, which are then streams; empty for none.
+  std::string extra_part;
   std::function<void(const CallOutcome& outcome)> on_outcome;
 };
 
@@ -42,6 +44,7 @@
   void ScheduleNext();
   void Send();
   void Connect(common::Time now);
+  [[nodiscard]] std::string PromptParts() const;
   [[nodiscard]] http::RequestHead MakeHead(const std::string& path) const;
   void OnEnd(http::CallEnd end);
   void Abandon(bool early);
--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -17,6 +17,10 @@
   return value == nullptr ? std::string() : *value;
 }
 
+bool IsStream(const http::RequestHead& head) {
+  return head.target.starts_with("/draft/") || head.target.starts_with("/ask/");
+}
+
 }  // namespace
 
 /// A request in execution.
@@ -54,7 +58,8 @@
     request_->OnDisconnected([weak = weak_from_this()] {
       if (const auto run = weak.lock()) run->disconnected_ = true;
     });
-    stream_ = head.target.starts_with("/draft/") || head.target.starts_with("/ask/");
+    stream_ = IsStream(head);
+    crashes_server_ = backend_->HasCrashingPart(head);
     if (const std::string last = HeaderOrEmpty(head, platform::kLastEventId); !last.empty()) {
       next_event_ = std::stoi(last) + 1;
     }
@@ -113,11 +118,13 @@
   }
 
   void SendEvent() {
-    if (!std::exchange(started_, true)) {
-      http::ResponseHead head = Head();
-      head.headers.Add("Content-Type", "text/event-stream");
-      request_->StartStream(head, StreamFraming());
+    if (!started_ && crashes_server_) {
+      // One server crashes before it has written anything, another one inside its first event.
+      if (plan_.silence.count() % 2 == 0) StartEvents();
+      backend_->options_.on_crashing_run();
+      return;
     }
+    StartEvents();
     if (next_event_ > EventCount(attempt_id_)) {
       request_->EndStream();
       return;
@@ -126,6 +133,14 @@
     ScheduleNext(plan_.event_interval);
   }
 
+  void StartEvents() {
+    if (!std::exchange(started_, true)) {
+      http::ResponseHead head = Head();
+      head.headers.Add("Content-Type", "text/event-stream");
+      request_->StartStream(head, StreamFraming());
+    }
+  }
+
   FakeBackend* backend_;
   std::shared_ptr<bool> lifetime_;
   std::shared_ptr<http::IncomingRequest> request_;
@@ -136,6 +151,7 @@
   std::string body_rest_;
   int next_event_ = 1;
   bool stream_ = false;
+  bool crashes_server_ = false;
   bool started_ = false;
   bool was_silent_ = false;
   bool disconnected_ = false;
@@ -178,6 +194,9 @@
     Reject(*request, platform::kOtherInstanceStatus);
     return;
   }
+  if (HasCrashingPart(request->head())) {
+    options_.on_crashing_arrival(HeaderOrEmpty(request->head(), platform::kAttemptId));
+  }
   if (running_requests_ >= options_.slots) {
     Reject(*request, kUnavailable);
     return;
@@ -188,6 +207,18 @@
   run->Start();
 }
 
+bool FakeBackend::HasCrashingPart(const http::RequestHead& head) const {
+  if (crashing_part_.empty() || !IsStream(head)) return false;
+  const std::string parts = HeaderOrEmpty(head, platform::kPrefixHash);
+  // The last part is followed by no comma.
+  std::size_t start = 0;
+  for (std::size_t end = parts.find(','); end != std::string::npos; end = parts.find(',', start)) {
+    if (parts.substr(start, end - start).starts_with(crashing_part_ + ":")) return true;
+    start = end + 1;
+  }
+  return false;
+}
+
 void FakeBackend::Reject(http::IncomingRequest& request, std::uint16_t status) {
   http::ResponseHead head{.status = status, .reason = {}, .headers = {}};
   head.headers.Add(platform::kAttemptId, HeaderOrEmpty(request.head(), platform::kAttemptId));
--- a/soak/fake_backend.h
+++ b/soak/fake_backend.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "briarwood/http/event_loop.h"
@@ -20,6 +21,10 @@
   std::uint32_t slots = 8;
   /// Called when the execution of a request starts.
   std::function<void(const RunCall& run)> on_run;
+  /// Called when a request with the crashing part arrives.
+  std::function<void(const std::string& request_id)> on_crashing_arrival;
+  /// Called when the server begins to write a response to such a request; it has to crash.
+  std::function<void()> on_crashing_run;
 };
 
 /// Fake backend server that implements the platform's protocol. The shape of each response follows
@@ -41,6 +46,9 @@
   void Crash(bool inside_event = false);
   /// While quiet, each stream falls silent once and then goes on.
   void SetQuiet(bool quiet) noexcept { quiet_ = quiet; }
+  /// Streams whose prompt contains this part, other than as the last one, crash the server; empty
+  /// for none.
+  void SetCrashingPart(std::string part) { crashing_part_ = std::move(part); }
   /// \returns true if a closed connection would make an incomplete response look complete, so that
   ///   a crash has to reset the connections.
   [[nodiscard]] bool has_open_ended_body() const noexcept { return open_ended_bodies_ > 0; }
@@ -53,6 +61,7 @@
   class Run;
 
   void Handle(const std::shared_ptr<http::IncomingRequest>& request);
+  [[nodiscard]] bool HasCrashingPart(const http::RequestHead& head) const;
   void Reject(http::IncomingRequest& request, std::uint16_t status);
 
   http::EventLoop& loop_;
@@ -62,6 +71,7 @@
   std::uint32_t running_requests_ = 0;
   std::uint32_t open_ended_bodies_ = 0;
   bool quiet_ = false;
+  std::string crashing_part_;
   std::vector<std::weak_ptr<Run>> runs_;
   /// Shared with the requests of the current lifetime; set to false when it ends.
   std::shared_ptr<bool> lifetime_;
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -12,11 +12,11 @@
 using std::chrono::seconds;
 
 constexpr std::string_view kFaultNames[kFaultKinds] = {
-    "kill_entry",      "pause_entry",     "stop_entry",       "kill_member",
-    "pause_member",    "stop_member",     "kill_all_members", "wipe_member",
-    "tear_log",        "reload",          "delay_link",       "reset_link",
-    "cut_to_server",   "cut_from_server", "silence_link",     "crash_backend",
-    "replace_backend", "platform_down",   "quiet_backend",    "stop_entries_in_turn"};
+    "kill_entry",    "pause_entry",      "stop_entry",    "kill_member",     "pause_member",
+    "stop_member",   "kill_all_members", "wipe_member",   "tear_log",        "reload",
+    "delay_link",    "reset_link",       "cut_to_server", "cut_from_server", "silence_link",
+    "crash_backend", "replace_backend",  "platform_down", "quiet_backend",   "stop_entries_in_turn",
+    "crash_on_part"};
 
 constexpr milliseconds kMinFaultDuration{200};
 constexpr milliseconds kMaxFaultDuration{4000};
@@ -39,12 +39,31 @@
     case FaultKind::kPlatformDown:
     case FaultKind::kQuietBackend:
     case FaultKind::kStopEntriesInTurn:
+    case FaultKind::kCrashOnPart:
       return false;
     default:
       return true;
   }
 }
 
+/// Kinds that are not chosen at random, at the end of the enumeration.
+constexpr std::size_t kPlannedKinds = 1;
+/// Kinds that may accompany kCrashOnPart.
+constexpr FaultKind kKindsBesideCrashOnPart[] = {FaultKind::kCrashBackend, FaultKind::kReload,
+                                                 FaultKind::kReplaceBackend,
+                                                 FaultKind::kQuietBackend, FaultKind::kStopEntry};
+/// Factor by which faults beside kCrashOnPart are rarer.
+constexpr int kIntervalFactorBesideCrashOnPart = 4;
+/// Share of the duration before kCrashOnPart, in which calls are counted for comparison.
+constexpr double kShareBeforeCrashOnPart = 0.2;
+
+FaultKind ChooseKind(const FaultPlanOptions& options, common::Random& random) {
+  if (options.crash_on_part) {
+    return kKindsBesideCrashOnPart[random.Below(std::size(kKindsBesideCrashOnPart))];
+  }
+  return static_cast<FaultKind>(random.Below(kFaultKinds - kPlannedKinds));
+}
+
 bool IsInQuietPeriod(const PlannedFault& fault, const PlannedFault& wipe) {
   return fault.at + fault.duration + kQuietPeriodBeforeWipe > wipe.at &&
          fault.at < wipe.at + kQuietPeriodAfterWipe;
@@ -58,12 +77,13 @@
   common::Random random(options.seed);
   std::vector<PlannedFault> plan;
   common::Duration at{};
+  common::Duration interval = options.mean_interval;
+  if (options.crash_on_part) interval *= kIntervalFactorBesideCrashOnPart;
   FaultKind kind = FaultKind::kKillEntry;
   while (true) {
     const bool series = !plan.empty() && random.Chance(kSeriesProbability);
-    if (!series) kind = static_cast<FaultKind>(random.Below(kFaultKinds));
-    const double delay_s =
-        -std::log(1 - random.Uniform()) * common::ToSeconds(options.mean_interval);
+    if (!series) kind = ChooseKind(options, random);
+    const double delay_s = -std::log(1 - random.Uniform()) * common::ToSeconds(interval);
     at += series ? common::Duration(kSeriesInterval) : common::FromSeconds(delay_s);
     if (at >= options.duration) break;
     const auto spread = static_cast<std::uint64_t>((kMaxFaultDuration - kMinFaultDuration).count());
@@ -72,6 +92,16 @@
                     .target = random.Next() % 1024,
                     .duration = kMinFaultDuration + milliseconds(random.Below(spread))});
   }
+  if (options.crash_on_part) {
+    const auto start =
+        common::FromSeconds(common::ToSeconds(options.duration) * kShareBeforeCrashOnPart);
+    const auto later = std::find_if(plan.begin(), plan.end(),
+                                    [&](const PlannedFault& fault) { return fault.at > start; });
+    plan.insert(later, {.at = start,
+                        .kind = FaultKind::kCrashOnPart,
+                        .target = random.Next() % 1024,
+                        .duration = options.duration - start});
+  }
   // Keeps the first wipe of each quiet period and drops other wipes and member faults within it.
   std::vector<PlannedFault> wipes;
   for (const PlannedFault& fault : plan) {
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -35,8 +35,10 @@
   kQuietBackend,
   /// Stops all entries one after the other, with changed settings before and during each stop.
   kStopEntriesInTurn,
+  /// Requests with one part of a prompt crash each server; see FaultPlanOptions::crash_on_part.
+  kCrashOnPart,
 };
-inline constexpr std::size_t kFaultKinds = 20;
+inline constexpr std::size_t kFaultKinds = 21;
 
 [[nodiscard]] std::string_view NameOf(FaultKind kind);
 
@@ -54,6 +56,9 @@
   common::Duration duration = std::chrono::seconds(20);
   /// Mean time between the start times of consecutive faults.
   common::Duration mean_interval = std::chrono::milliseconds(500);
+  /// The plan has one kCrashOnPart that lasts to its end, and otherwise fewer faults, of kinds that
+  /// leave the members and most entries in touch. Without this it has none.
+  bool crash_on_part = false;
 };
 
 /// Generates random faults, which may overlap and occur in series.
--- a/soak/invariant_checkers.cc
+++ b/soak/invariant_checkers.cc
@@ -52,6 +52,11 @@
   calls_[id] = Call{.sent = call};
 }
 
+std::string RequestChecker::EntryOf(const std::string& id) const {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? std::string() : found->second.sent.entry;
+}
+
 void RequestChecker::OnRun(const RunCall& run, common::Time now) {
   ++runs_;
   const auto found = calls_.find(run.id);
--- a/soak/invariant_checkers.h
+++ b/soak/invariant_checkers.h
@@ -46,6 +46,8 @@
   std::string body;
   /// Owner of the key in the request.
   std::string customer;
+  /// Name of the entry that the request was sent to.
+  std::string entry;
 };
 
 /// Request as a backend server receives it.
@@ -76,6 +78,9 @@
   void OnRun(const RunCall& run, common::Time now);
   void OnResponse(const std::string& id, const ReceivedResponse& response, common::Time now);
 
+  /// \returns the entry that the request was sent to, or an empty string for an unknown id.
+  [[nodiscard]] std::string EntryOf(const std::string& id) const;
+
   /// \returns the body of a complete successful response to a request.
   [[nodiscard]] static std::string ExpectedBody(const std::string& id, CallKind kind);
   /// \returns an event of the stream for a request; numbers start at 1.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -31,6 +31,8 @@
       "duration of the phase without faults, in which calls must be served")(
       "mean-gap-ms", options::value(&mean_interval_ms)->default_value(500),
       "mean time between the start times of consecutive faults")(
+      "crash-on-part", options::bool_switch(&soak.crash_on_part),
+      "requests with one part of a prompt crash each backend server")(
       "members", options::value(&soak.members)->default_value(soak.members),
       "number of control members")(
       "entries", options::value(&soak.entries)->default_value(soak.entries), "entries")(
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -16,6 +16,7 @@
 #include "soak/answer_checker.h"
 #include "soak/caller.h"
 #include "soak/configuration_source.h"
+#include "soak/crashing_part_checker.h"
 #include "soak/disturbance_log.h"
 #include "soak/fake_backend.h"
 #include "soak/fake_platform.h"
@@ -50,6 +51,7 @@
 
 /// One caller of this many is slow.
 constexpr std::size_t kSlowCallerInterval = 4;
+constexpr std::size_t kCrashingCallers = 3;
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
 constexpr std::size_t kFirstBackendHost = 70;
@@ -100,7 +102,8 @@
     SetUp();
     plan_ = MakeFaultPlan({.seed = options_.seed,
                            .duration = options_.faults,
-                           .mean_interval = options_.mean_interval});
+                           .mean_interval = options_.mean_interval,
+                           .crash_on_part = options_.crash_on_part});
     RunFaults();
     RunCalm();
     ReadBack();
@@ -141,14 +144,23 @@
       constexpr std::uint32_t kStreamSlots = 16;
       backend.server = std::make_unique<FakeBackend>(
           loop_,
-          BackendOptions{.service = plain ? "app" : "llm",
-                         .listen = Address(host),
-                         .slots = plain ? 8 : kStreamSlots,
-                         .on_run = [this, link = Address(host + kProxyOffset)](const RunCall& run) {
-                           const common::Time now = common::BootClock::now();
-                           requests_.OnRun(run, now);
-                           answers_.OnRun(run.id, run.backend_server, link, now);
-                         }});
+          BackendOptions{
+              .service = plain ? "app" : "llm",
+              .listen = Address(host),
+              .slots = plain ? 8 : kStreamSlots,
+              .on_run =
+                  [this, link = Address(host + kProxyOffset)](const RunCall& run) {
+                    const common::Time now = common::BootClock::now();
+                    requests_.OnRun(run, now);
+                    answers_.OnRun(run.id, run.backend_server, link, now);
+                  },
+              .on_crashing_arrival = [this](const std::string& id) { CountCrashingArrival(id); },
+              .on_crashing_run =
+                  [this, i] {
+                    const common::Time now = common::BootClock::now();
+                    crashing_part_.OnCrash(now);
+                    CrashBackend(backends_[i], now);
+                  }});
       backend.link = ValueOrThrow(Link::Start(loop_, Address(host + kProxyOffset), Address(host)));
       backend.failure_domain = "domain-" + std::to_string(i % 3);
       StartBackend(backend);
@@ -176,6 +188,45 @@
     backend.start_at = now + kBackendRestartDelay;
   }
 
+  void CountCrashingArrival(const std::string& id) {
+    const common::Time now = common::BootClock::now();
+    const std::string entry = requests_.EntryOf(id);
+    const common::Time from = now - CrashingPartBounds{}.contact_period;
+    crashing_part_.OnArrival(now, !disturbances_.Affected(entry, from, now) &&
+                                      !disturbances_.Affected(RestartOf(entry), from, now));
+  }
+
+  /// Part of the DisturbanceLog for the starts and planned stops of a process.
+  static std::string RestartOf(const std::string& entry) { return "restart of " + entry; }
+
+  void BeginCrashOnPart(const PlannedFault& fault, common::Time now) {
+    const std::string part = "f" + std::to_string(fault.target);
+    for (Backend& backend : backends_) backend.server->SetCrashingPart(part);
+    crashing_part_.Begin(now);
+    for (std::size_t i = 0; i < kCrashingCallers; ++i) {
+      crashing_callers_.push_back(std::make_shared<Caller>(
+          loop_,
+          CallerOptions{.name = "s" + std::to_string(options_.seed) + "-crash-" + std::to_string(i),
+                        .seed = random_.Next(),
+                        .customer = kCustomerA,
+                        .key = kKeyA,
+                        .entries = ListenersOf(entries_),
+                        .extra_part = part,
+                        .on_outcome =
+                            [this](const CallOutcome& outcome) {
+                              answers_.OnEnded(outcome, TimeoutOf(outcome.kind));
+                            }},
+          requests_));
+      crashing_callers_.back()->Start();
+    }
+  }
+
+  void EndCrashOnPart() {
+    for (const auto& caller : crashing_callers_) caller->Stop();
+    crashing_part_.End(common::BootClock::now());
+    for (Backend& backend : backends_) backend.server->SetCrashingPart({});
+  }
+
   void StartPlatform() {
     auto platform = FakePlatform::Start(
         loop_, network_ + kPlatformHost + kPort, [this] { return ListServers(); }, usage_);
@@ -272,6 +323,11 @@
   void CountOutcome(const CallOutcome& outcome) {
     constexpr std::uint16_t kUnavailable = 503;
     answers_.OnEnded(outcome, TimeoutOf(outcome.kind));
+    const bool stream =
+        outcome.kind == CallKind::kStream || outcome.kind == CallKind::kResumableStream;
+    if (stream && !outcome.disconnected && !plan_.empty()) {
+      crashing_part_.OnSoundCall(outcome.sent_at, outcome.status == kOk && outcome.complete);
+    }
     ++counts_.calls;
     if (outcome.disconnected) {
       ++counts_.disconnected;
@@ -296,7 +352,9 @@
     loop_.run_for(kStepDuration);
     const common::Time now = common::BootClock::now();
     for (Daemon* daemon : Daemons()) {
+      const std::uint64_t lifetime = daemon->lifetime();
       if (!daemon->Check(now, log_)) disturbances_.Add(daemon->name(), now);
+      if (daemon->lifetime() != lifetime) disturbances_.Add(RestartOf(daemon->name()), now);
     }
     for (Backend& backend : backends_) {
       if (backend.end_at && now >= *backend.end_at) {
@@ -347,7 +405,9 @@
   }
 
   void StopEntry(Daemon& entry, common::Time now) {
-    if (entry.Stop(now)) answers_.OnStopped(entry.name(), entry.lifetime(), now);
+    if (!entry.Stop(now)) return;
+    answers_.OnStopped(entry.name(), entry.lifetime(), now);
+    disturbances_.Add(RestartOf(entry.name()), now);
   }
 
   void StopEntriesInTurn(common::Time now) {
@@ -448,6 +508,10 @@
       case FaultKind::kStopEntriesInTurn:
         StopEntriesInTurn(now);
         break;
+      case FaultKind::kCrashOnPart:
+        BeginCrashOnPart(fault, now);
+        RunAt(now + fault.duration, [this] { EndCrashOnPart(); });
+        break;
     }
   }
 
@@ -544,6 +608,10 @@
             << ", answers cut: " << answers_.cut_before_stop() << " sent before SIGTERM, "
             << answers_.cut_after_stop() << " after it; calls on kept connections after SIGTERM "
             << answers_.calls_on_kept_connections() << "\n";
+    if (options_.crash_on_part) {
+      report_ << "crashing part: " << crashing_part_.crashes() << " crashes, "
+              << crashing_part_.arrivals_after_bound() << " arrivals after the bound\n";
+    }
     for (const Violation& violation : log_.kept()) {
       report_ << "violation: " << violation.invariant << ": " << violation.detail << " (at "
               << common::ToSeconds(violation.at - faults_since_) << " s)\n";
@@ -565,6 +633,7 @@
   UsageChecker usage_{log_};
   DisturbanceLog disturbances_;
   AnswerChecker answers_{log_, disturbances_, {}};
+  CrashingPartChecker crashing_part_{log_, {}};
   VersionSequence versions_;
   std::vector<Backend> backends_;
   std::unique_ptr<FakePlatform> platform_;
@@ -575,6 +644,8 @@
   std::vector<std::shared_ptr<ConfigurationWriter>> writers_;
   std::shared_ptr<ConfigurationProbe> probe_;
   std::vector<std::shared_ptr<Caller>> callers_;
+  /// Send the requests of FaultKind::kCrashOnPart.
+  std::vector<std::shared_ptr<Caller>> crashing_callers_;
   std::vector<PlannedFault> plan_;
   std::vector<FaultStep> fault_steps_;
   common::Time faults_since_;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -19,6 +19,8 @@
   std::size_t callers = 16;
   /// Mean time between the start times of consecutive faults.
   std::chrono::milliseconds mean_interval{500};
+  /// See FaultPlanOptions::crash_on_part.
+  bool crash_on_part = false;
   std::string programs;
   std::string templates;
   /// Folder for settings, data and output; its previous contents are deleted.
--- a/tests/soak/fake_backend_test.cc
+++ b/tests/soak/fake_backend_test.cc
@@ -40,7 +40,12 @@
  protected:
   FakeBackendTest()
       : listen_(FreeAddress(loop_)),
-        backend_(loop_, {.service = "llm", .listen = listen_, .on_run = [](const RunCall&) {}}) {
+        backend_(loop_,
+                 {.service = "llm",
+                  .listen = listen_,
+                  .on_run = [](const RunCall&) {},
+                  .on_crashing_arrival = [this](const std::string&) { ++arrivals_with_part_; },
+                  .on_crashing_run = [this] { backend_.Crash(/*inside_event=*/true); }}) {
     EXPECT_EQ(backend_.Start(kServer), "");
   }
 
@@ -49,6 +54,7 @@
     head.headers.Add("Host", "a");
     head.headers.Add(platform::kAttemptId, id);
     head.headers.Add(platform::kExpectInstance, kServer);
+    head.headers.Add(platform::kPrefixHash, parts_);
     connection_ = http::OutgoingConnection::Create(loop_, *http::ParseEndpoint(listen_));
     connection_->Send(http::SerializeRequest(head, 0, /*has_body=*/true), nullptr,
                       milliseconds(1000),
@@ -68,7 +74,10 @@
   /// \returns false if the condition did not hold in time.
   bool RunUntil(const std::function<bool()>& condition) {
     const common::Time deadline = common::BootClock::now() + std::chrono::seconds(20);
-    while (!condition() && common::BootClock::now() < deadline) loop_.run_for(milliseconds(2));
+    while (!condition() && common::BootClock::now() < deadline) {
+      if (loop_.stopped()) loop_.restart();
+      loop_.run_for(milliseconds(2));
+    }
     return condition();
   }
 
@@ -87,6 +96,8 @@
   http::ResponseHead head_;
   std::string body_;
   std::vector<common::Time> arrivals_;
+  std::string parts_ = "a1:400,b2:150,c3:50";
+  int arrivals_with_part_ = 0;
   std::optional<http::CallEnd> end_;
 };
 
@@ -145,5 +156,27 @@
   EXPECT_TRUE(RequestChecker::ExpectedBody(id, CallKind::kStream).starts_with(body_));
 }
 
+// Without the crash the check of requests that crash servers passes for any router.
+TEST_F(FakeBackendTest, CrashingPartCrashesTheServerUnlessItIsTheLast) {
+  const std::string id = IdWith([](const ResponsePlan& plan, int events) {
+    return plan.silent_before == 0 && IsShort(events);
+  });
+  backend_.SetCrashingPart("c3");
+  Send("/ask/question", id);
+  ASSERT_TRUE(RunUntil([this] { return end_.has_value(); }));
+  EXPECT_EQ(end_, http::CallEnd::kComplete);
+  EXPECT_EQ(arrivals_with_part_, 0);
+  for (const char* part : {"a1", "b2"}) {
+    ASSERT_EQ(backend_.Start(kServer), "");
+    backend_.SetCrashingPart(part);
+    end_.reset();
+    Send("/ask/question", id);
+    ASSERT_TRUE(RunUntil([this] { return end_.has_value(); }));
+    EXPECT_NE(end_, http::CallEnd::kComplete);
+    EXPECT_FALSE(backend_.running());
+  }
+  EXPECT_EQ(arrivals_with_part_, 2);
+}
+
 }  // namespace
 }  // namespace briarwood::soak
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -9,8 +9,14 @@
 
 using std::chrono::seconds;
 
+constexpr seconds kDuration{120};
+
 std::vector<PlannedFault> Plan(std::uint64_t seed) {
-  return MakeFaultPlan({.seed = seed, .duration = seconds(120)});
+  return MakeFaultPlan({.seed = seed, .duration = kDuration});
+}
+
+std::vector<PlannedFault> PlanWithCrashOnPart(std::uint64_t seed) {
+  return MakeFaultPlan({.seed = seed, .duration = kDuration, .crash_on_part = true});
 }
 
 TEST(FaultPlanTest, SameSeedGivesSamePlan) {
@@ -29,9 +35,34 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     for (const PlannedFault& fault : Plan(seed)) kinds.insert(fault.kind);
   }
+  EXPECT_EQ(kinds.count(FaultKind::kCrashOnPart), 0U);
+  for (const PlannedFault& fault : PlanWithCrashOnPart(1)) kinds.insert(fault.kind);
   EXPECT_EQ(kinds.size(), kFaultKinds);
 }
 
+// Faults that cut the members or an entry off would excuse requests that have to be held back.
+TEST(FaultPlanTest, CrashOnPartLastsToTheEndBesideFaultsThatKeepMembersInTouch) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::size_t crash_on_part = 0;
+    common::Duration previous{};
+    for (const PlannedFault& fault : PlanWithCrashOnPart(seed)) {
+      EXPECT_GE(fault.at, previous);
+      previous = fault.at;
+      if (fault.kind == FaultKind::kCrashOnPart) {
+        ++crash_on_part;
+        EXPECT_EQ(fault.at + fault.duration, kDuration);
+        EXPECT_EQ(fault.at, seconds(24));
+        continue;
+      }
+      EXPECT_TRUE(fault.kind == FaultKind::kCrashBackend || fault.kind == FaultKind::kReload ||
+                  fault.kind == FaultKind::kReplaceBackend ||
+                  fault.kind == FaultKind::kQuietBackend || fault.kind == FaultKind::kStopEntry)
+          << NameOf(fault.kind);
+    }
+    EXPECT_EQ(crash_on_part, 1U);
+  }
+}
+
 // A group of three members tolerates the loss of one data folder at a time.
 TEST(FaultPlanTest, KeepsOtherFaultsOfMembersAwayFromAWipe) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
