--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -55,7 +55,7 @@
          .body = *request_->body(),
          .customer = HeaderOrEmpty(head, platform::kTenant),
          .carries_key = head.headers.Find(platform::kAuthorization) != nullptr});
-    request_->OnDisconnected([weak = weak_from_this()] {
+    request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause /*cause*/) {
       if (const auto run = weak.lock()) run->disconnected_ = true;
     });
     stream_ = IsStream(head);
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -52,6 +53,13 @@
          error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
 }
 
+DisconnectCause CauseOf(const ErrorCode& error) {
+  const bool unreachable = error == asio::error::timed_out ||
+                           error == asio::error::host_unreachable ||
+                           error == asio::error::network_unreachable;
+  return unreachable ? DisconnectCause::kPeerUnreachable : DisconnectCause::kPeerClosed;
+}
+
 std::string ToText(beast::string_view text) { return {text.data(), text.size()}; }
 
 }  // namespace
@@ -84,6 +92,9 @@
   friend class IncomingConnection;
 
   void AddConnection(Socket socket);
+  /// Closes the connection that has been idle for the longest time, except those on which a request
+  /// has arrived. \returns false if there is none.
+  bool CloseLongestIdle();
 
   EventLoop& loop_;
   asio::ip::tcp::acceptor acceptor_;
@@ -115,13 +126,13 @@
     AwaitRequest();
   }
 
-  void Close() {
+  void Close(DisconnectCause cause = DisconnectCause::kServerClosed) {
     if (closed_) return;
     closed_ = true;
     timer_.cancel();
     ErrorCode ignored;
     socket_.close(ignored);
-    NotifyDisconnected();
+    NotifyDisconnected(cause);
     EndRequest();
     (idle_ ? server_->idle_ : server_->busy_).erase(position_);
   }
@@ -137,7 +148,7 @@
   void StartStream(const ResponseHead& head, BodyFraming framing);
   void Write(std::string_view piece);
   void EndStream();
-  void SetOnClose(std::function<void()> callback);
+  void SetOnClose(std::function<void(DisconnectCause)> callback);
   [[nodiscard]] bool response_started() const noexcept { return response_started_; }
   /// \returns true if unread bytes have arrived.
   [[nodiscard]] bool HasInput();
@@ -160,8 +171,11 @@
   void WriteOutput();
   void SetTimer(std::chrono::milliseconds limit, std::function<void()> expired);
   void SetIdle(bool idle);
-  void NotifyDisconnected() {
-    if (auto task = std::exchange(on_close_, nullptr)) asio::post(server_->loop(), std::move(task));
+  void SetResetOnClose(bool reset);
+  void NotifyDisconnected(DisconnectCause cause) {
+    auto callback = std::exchange(on_close_, nullptr);
+    if (!callback) return;
+    asio::post(server_->loop(), [callback = std::move(callback), cause] { callback(cause); });
   }
   void EndRequest() {
     if (std::exchange(in_request_, false)) --server_->in_flight_;
@@ -187,7 +201,7 @@
   bool wait_pending_ = false;
   bool awaiting_request_ = false;
   bool closed_ = false;
-  std::function<void()> on_close_;
+  std::function<void(DisconnectCause)> on_close_;
 
   std::deque<std::string> output_;
   std::size_t output_bytes_ = 0;
@@ -248,7 +262,7 @@
   [[nodiscard]] std::size_t buffered_bytes() const noexcept override {
     return connection_->IsInProgress(number_) ? connection_->buffered_bytes() : 0;
   }
-  void OnDisconnected(std::function<void()> callback) override {
+  void OnDisconnected(std::function<void(DisconnectCause)> callback) override {
     if (connection_->IsInProgress(number_) && !ended_) connection_->SetOnClose(std::move(callback));
   }
 
@@ -280,6 +294,11 @@
   idle_ = idle;
 }
 
+void IncomingConnection::SetResetOnClose(bool reset) {
+  ErrorCode ignored;
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void IncomingConnection::AwaitRequest() {
   parser_.reset();
   on_close_ = nullptr;
@@ -289,7 +308,10 @@
   }
   if (buffer_.capacity() > kMaxIdleBufferBytes) buffer_ = {};
   SetIdle(true);
-  SetTimer(server_->limits().idle_timeout, [this] { Close(); });
+  SetTimer(server_->limits().idle_timeout, [this] {
+    // A request that has already arrived is read and answered by the pending wait.
+    if (!HasInput()) Close();
+  });
   AwaitReadable();
 }
 
@@ -315,7 +337,7 @@
     self->wait_pending_ = false;
     if (self->closed_) return;
     if (error) {
-      self->Close();
+      self->Close(CauseOf(error));
       return;
     }
     self->OnReadable();
@@ -337,14 +359,17 @@
   if (!in_request_) return;
   char byte = 0;
   const ssize_t received = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool no_input = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  const int problem = errno;
+  const bool no_input =
+      received < 0 && (problem == EAGAIN || problem == EWOULDBLOCK || problem == EINTR);
   if (no_input) {
     WatchForDisconnect();
     return;
   }
   // Once a further request has arrived, its unread bytes hide the end of the connection.
   if (received > 0) return;
-  Close();
+  Close(received == 0 ? DisconnectCause::kPeerClosed
+                      : CauseOf(ErrorCode(problem, boost::system::system_category())));
 }
 
 void IncomingConnection::ReadHeader() {
@@ -419,7 +444,7 @@
   server_->Handle(std::move(request));
 }
 
-void IncomingConnection::SetOnClose(std::function<void()> callback) {
+void IncomingConnection::SetOnClose(std::function<void(DisconnectCause)> callback) {
   on_close_ = std::move(callback);
 }
 
@@ -438,6 +463,9 @@
   if (response_started_) return;
   response_started_ = true;
   chunked_ = framing == BodyFraming::kChunked && !peer_is_http_1_0_;
+  // The end of the connection completes such a response, so until the response has ended the
+  // connection must not close in order, not even if the process ends.
+  if (!chunked_) SetResetOnClose(true);
   close_after_response_ = close_after_response_ || server_->keep_alive_disabled() || !chunked_;
   Send(SerializeResponse(head, chunked_ ? BodyFraming::kChunked : BodyFraming::kClose, 0,
                          close_after_response_));
@@ -500,7 +528,7 @@
                       self->writing_ = false;
                       self->output_bytes_ -= batch->size();
                       if (error) {
-                        self->Close();
+                        self->Close(CauseOf(error));
                         return;
                       }
                       self->WriteOutput();
@@ -517,6 +545,7 @@
     return;
   }
   if (close_after_response_) {
+    SetResetOnClose(false);
     ErrorCode ignored;
     socket_.shutdown(Socket::shutdown_both, ignored);
     Close();
@@ -565,12 +594,19 @@
 void IncomingServer::Impl::AddConnection(Socket socket) {
   if (busy_.size() + idle_.size() >= options_.max_connections) {
     // A peer whose connection closes before its request is read may retry it elsewhere.
-    if (idle_.empty()) return;
-    idle_.front()->Close();
+    if (!CloseLongestIdle()) return;
   }
   std::make_shared<IncomingConnection>(shared_from_this(), std::move(socket))->Start();
 }
 
+bool IncomingServer::Impl::CloseLongestIdle() {
+  const auto longest = std::find_if(idle_.begin(), idle_.end(),
+                                    [](const auto& connection) { return !connection->HasInput(); });
+  if (longest == idle_.end()) return false;
+  (*longest)->Close();
+  return true;
+}
+
 void IncomingServer::Impl::StopAccepting() {
   if (!acceptor_.is_open()) return;
   ErrorCode error;
