Close unframed streams of the soak inside an event again

IncomingServer now resets a connection that closes before its unframed response has ended, so that the soak's crashing server could no longer send the case that it is there for: an unframed stream whose connection closes in order in the middle of an event. A crash inside an event now writes the part of the event, ends the unframed response, and closes the rest 5 ms later; any other crash leaves the reset to the server, which makes has_open_ended_body superfluous.

--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint16_t kOk = 200;
+/// Time in which a crashing server writes the parts of events with which its streams break off.
+constexpr std::chrono::milliseconds kCrashDuration{5};
 constexpr std::uint16_t kUnavailable = 503;
 
 std::string HeaderOrEmpty(const http::RequestHead& head, const char* name) {
@@ -37,10 +39,7 @@
   }
 
   ~Run() {
-    if (!*lifetime_) return;
-    --backend_->running_requests_;
-    if (body_rest_.empty()) return;
-    --backend_->open_ended_bodies_;
+    if (*lifetime_) --backend_->running_requests_;
   }
 
   Run(const Run&) = delete;
@@ -66,12 +65,16 @@
     ScheduleNext(plan_.processing_delay);
   }
 
-  /// Writes the first part of an event, if the stream has begun.
-  void BreakOff(bool any_framing) {
-    if (!stream_ || !started_ || disconnected_) return;
-    if (!any_framing && !plan_.until_close) return;
+  /// Ends the response with the first part of an event, if it is a stream that has begun.
+  void BreakOff() {
+    if (disconnected_) return;
+    if (!stream_ || !started_) {
+      request_->Abort();
+      return;
+    }
     const std::string event = RequestChecker::Event(attempt_id_, next_event_);
     request_->Write(std::string_view(event).substr(0, event.size() / 2));
+    if (plan_.until_close) request_->EndStream();
   }
 
  private:
@@ -108,12 +111,10 @@
       request_->StartStream(Head(), StreamFraming());
       request_->Write(std::string_view(body).substr(0, body.size() / 2));
       body_rest_ = body.substr(body.size() / 2);
-      ++backend_->open_ended_bodies_;
       ScheduleNext(plan_.event_interval);
       return;
     }
     request_->Write(std::exchange(body_rest_, {}));
-    --backend_->open_ended_bodies_;
     request_->EndStream();
   }
 
@@ -158,7 +159,7 @@
 };
 
 FakeBackend::FakeBackend(http::EventLoop& loop, BackendOptions options)
-    : loop_(loop), options_(std::move(options)) {}
+    : loop_(loop), options_(std::move(options)), crash_timer_(loop) {}
 
 FakeBackend::~FakeBackend() { Crash(); }
 
@@ -166,7 +167,6 @@
   Crash();
   id_ = id;
   running_requests_ = 0;
-  open_ended_bodies_ = 0;
   lifetime_ = std::make_shared<bool>(true);
   auto server = http::IncomingServer::Start(
       loop_, {.listen = options_.listen},
@@ -177,14 +177,29 @@
 }
 
 void FakeBackend::Crash(bool inside_event) {
-  for (const auto& weak : std::exchange(runs_, {})) {
-    if (const auto run = weak.lock()) run->BreakOff(/*any_framing=*/inside_event);
-  }
   if (lifetime_) *lifetime_ = false;
-  server_.reset();
+  crashed_server_.reset();
+  const auto runs = std::exchange(runs_, {});
+  if (!inside_event || !server_) {
+    server_.reset();
+    return;
+  }
+  server_->StopAccepting();
+  for (const auto& weak : runs) {
+    if (const auto run = weak.lock()) run->BreakOff();
+  }
+  crashed_server_ = std::move(server_);
+  crash_timer_.expires_after(kCrashDuration);
+  crash_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) crashed_server_.reset();
+  });
 }
 
 void FakeBackend::Handle(const std::shared_ptr<http::IncomingRequest>& request) {
+  if (!*lifetime_) {
+    request->Abort();
+    return;
+  }
   if (request->head().path() == "/healthz") {
     request->Respond({.status = kOk, .reason = {}, .headers = {}}, {});
     return;
--- a/soak/fake_backend.h
+++ b/soak/fake_backend.h
@@ -40,19 +40,15 @@
   /// Starts listening under a new id.
   /// \returns an empty string, or an error that describes why the address cannot be used.
   std::string Start(const std::string& id);
-  /// Closes the listener and all connections immediately; a stream whose end is the end of its
-  /// connection breaks off inside an event.
-  /// \param inside_event  all streams break off inside an event
+  /// Closes the listener and all connections; connections with an unframed response are reset.
+  /// \param inside_event  streams break off inside an event and their connections are closed in
+  ///   order, also those of unframed streams
   void Crash(bool inside_event = false);
   /// While quiet, each stream falls silent once and then goes on.
   void SetQuiet(bool quiet) noexcept { quiet_ = quiet; }
   /// Streams whose prompt contains this part, other than as the last one, crash the server; empty
   /// for none.
   void SetCrashingPart(std::string part) { crashing_part_ = std::move(part); }
-  /// \returns true if a closed connection would make an incomplete response look complete, so that
-  ///   a crash has to reset the connections.
-  [[nodiscard]] bool has_open_ended_body() const noexcept { return open_ended_bodies_ > 0; }
-
   [[nodiscard]] bool running() const noexcept { return server_ != nullptr; }
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
   [[nodiscard]] const BackendOptions& options() const noexcept { return options_; }
@@ -68,8 +64,10 @@
   BackendOptions options_;
   std::string id_;
   std::unique_ptr<http::IncomingServer> server_;
+  /// Server of the last lifetime until it has written what its streams break off with.
+  std::unique_ptr<http::IncomingServer> crashed_server_;
+  http::Timer crash_timer_;
   std::uint32_t running_requests_ = 0;
-  std::uint32_t open_ended_bodies_ = 0;
   bool quiet_ = false;
   std::string crashing_part_;
   std::vector<std::weak_ptr<Run>> runs_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -182,8 +182,7 @@
   /// Ends the server's process: its connections are reset, or closed inside an event.
   void CrashBackend(Backend& backend, common::Time now) {
     disturbances_.Add(backend.server->id(), now);
-    const bool reset = random_.Chance(0.5) || backend.server->has_open_ended_body();
-    if (reset) backend.link->Reset();
+    if (random_.Chance(0.5)) backend.link->Reset();
     backend.server->Crash(/*inside_event=*/true);
     backend.start_at = now + kBackendRestartDelay;
   }
--- a/tests/soak/fake_backend_test.cc
+++ b/tests/soak/fake_backend_test.cc
@@ -150,12 +150,23 @@
   });
   Send("/ask/question", id);
   ASSERT_TRUE(RunUntil([this] { return !body_.empty(); }));
-  backend_.Crash();
+  backend_.Crash(/*inside_event=*/true);
   ASSERT_TRUE(RunUntil([this] { return end_.has_value(); }));
   EXPECT_FALSE(body_.ends_with("\n\n"));
   EXPECT_TRUE(RequestChecker::ExpectedBody(id, CallKind::kStream).starts_with(body_));
 }
 
+TEST_F(FakeBackendTest, OtherCrashResetsAnUnframedStream) {
+  const std::string id = IdWith([](const ResponsePlan& plan, int events) {
+    return plan.until_close && plan.silent_before == 0 && IsShort(events);
+  });
+  Send("/ask/question", id);
+  ASSERT_TRUE(RunUntil([this] { return !body_.empty(); }));
+  backend_.Crash();
+  ASSERT_TRUE(RunUntil([this] { return end_.has_value(); }));
+  EXPECT_EQ(end_, http::CallEnd::kCutShort);
+}
+
 // Without the crash the check of requests that crash servers passes for any router.
 TEST_F(FakeBackendTest, CrashingPartCrashesTheServerUnlessItIsTheLast) {
   const std::string id = IdWith([](const ResponsePlan& plan, int events) {
