--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "briarwood/forwarding/event_splitter.h"
 #include "forwarding/impl/forwarder.h"
@@ -37,7 +38,11 @@
   bool reused_connection = false;
   std::string body;
   EventSplitter events;
+  /// Whole events that are part of the response.
+  std::uint64_t event_count = 0;
   bool streaming = false;
+  /// Reading waits for the caller, which reads more slowly than the server sends.
+  bool paused = false;
   /// The response has started; for a stream, its first event has arrived.
   bool has_progress = false;
 };
@@ -98,6 +103,15 @@
   [[nodiscard]] bool StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
                                   double work, common::Time now);
   void SendAttempt();
+  /// Rejects the request, or fails it if a server may have run it, when a part of its prompt is
+  /// held back.
+  /// \returns true if the request may be sent.
+  [[nodiscard]] bool CheckPromptParts();
+  /// Records that a server ended the attempt, if that may be due to the prompt.
+  /// \returns false if a retry may crash the next server.
+  bool RecordCrash(const Attempt& attempt, http::CallEnd end);
+  /// Records that the server of the current attempt has begun a sound response.
+  void RecordSoundStart();
   /// \returns false if the response belongs to another request.
   [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const;
   /// Logs a response to another request, which is skipped.
@@ -131,6 +145,11 @@
   /// \param may_have_run  whether the backend server of the last attempt may have run the request
   [[nodiscard]] bool TryRetry(bool may_have_run);
   [[nodiscard]] bool MayRetry(bool may_have_run, common::Time now) const;
+  /// \returns false if the retry budget does not allow the next retry.
+  [[nodiscard]] bool ChargeRetry(common::Time now);
+  void WaitForRetry(common::Time now);
+  /// Queues the request that waits for a retry, if its time has come.
+  void EndWait(common::Time now);
   void QueueRetry(common::Time now);
   /// \returns the time until which the request may wait for a retry.
   [[nodiscard]] common::Time RetryQueueDeadline(common::Time now) const;
@@ -201,9 +220,10 @@
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
   std::uint32_t sent_attempts_ = 0;
-  /// Attempts in `sent_attempts_` whose server could not be reached.
-  std::uint32_t unsent_attempts_ = 0;
   common::Time retry_at_;
+  std::chrono::milliseconds retry_interval_;
+  /// The next retry counts against the retry budget and has not been charged yet.
+  bool uncharged_retry_ = false;
   std::uint64_t delivered_events_ = 0;
   bool in_scheduler_ = false;
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
@@ -211,6 +231,10 @@
   bool response_started_ = false;
   bool disconnected_ = false;
   bool usage_counted_ = false;
+  /// Ids of the parts of the prompt that other requests may share.
+  std::vector<std::string> shared_parts_;
+  /// The request is the trial of a held prompt part.
+  bool is_trial_ = false;
   std::optional<std::uint64_t> last_event_;
   std::optional<common::Time> first_byte_at_;
   common::Time last_progress_at_;
