--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -48,14 +48,17 @@
   void Pause();
   void Resume();
   /// Sends SIGTERM; the process is restarted after its exit.
-  void Stop(common::Time now);
+  /// \returns false if there is no process or it is stopping already.
+  bool Stop(common::Time now);
   void Reload();
   /// Kills the process and deletes its data folder.
   void Wipe(common::Time now);
   /// Kills the process and appends an incomplete record to its log.
   void TearLog(common::Time now, std::uint64_t seed);
-  /// Handles an exit of the process, and restarts it after the delay.
-  void Check(common::Time now, ViolationLog& log);
+  /// Handles an exit of the process, and restarts it after the delay. Kills a process that does not
+  /// end within the grace period of a stop, which is a violation unless a pause delayed the stop.
+  /// \returns false if it killed a process whose stop a pause had delayed.
+  bool Check(common::Time now, ViolationLog& log);
   /// Stops the process without a restart.
   /// \returns the wait status, or nothing if the process did not exit in time.
   std::optional<int> Shutdown(std::chrono::milliseconds timeout);
@@ -87,6 +90,10 @@
   std::uint64_t lifetime_ = 0;
   std::size_t unexpected_exits_ = 0;
   bool stopping_ = false;
+  /// The current process is paused.
+  bool paused_ = false;
+  /// A pause overlapped the planned stop in progress.
+  bool paused_in_stop_ = false;
   bool reloaded_ = false;
   common::Time started_at_;
   common::Time stop_sent_at_;
--- a/soak/invariant_checkers.cc
+++ b/soak/invariant_checkers.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "soak/response_plan.h"
+
 namespace briarwood::soak {
 namespace {
 
@@ -42,7 +44,7 @@
 std::string RequestChecker::ExpectedBody(const std::string& id, CallKind kind) {
   if (kind == CallKind::kOnce || kind == CallKind::kRetryable) return "answer to " + id;
   std::string body;
-  for (int number = 1; number <= kEvents; ++number) body += Event(id, number);
+  for (int number = 1; number <= EventCount(id); ++number) body += Event(id, number);
   return body;
 }
 
@@ -50,6 +52,11 @@
   calls_[id] = Call{.sent = call};
 }
 
+std::string RequestChecker::EntryOf(const std::string& id) const {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? std::string() : found->second.sent.entry;
+}
+
 void RequestChecker::OnRun(const RunCall& run, common::Time now) {
   ++runs_;
   const auto found = calls_.find(run.id);
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,8 +13,11 @@
 #include <utility>
 #include <vector>
 
+#include "soak/answer_checker.h"
 #include "soak/caller.h"
 #include "soak/configuration_source.h"
+#include "soak/crashing_part_checker.h"
+#include "soak/disturbance_log.h"
 #include "soak/fake_backend.h"
 #include "soak/fake_platform.h"
 #include "soak/fault_plan.h"
@@ -38,7 +42,16 @@
 /// Minimum share of calls that are served in the calm phase.
 constexpr double kMinServedShareWhenCalm = 0.99;
 constexpr milliseconds kLinkDelay{40};
-
+/// Times between the steps of FaultKind::kStopEntriesInTurn.
+constexpr milliseconds kStopInterval{1200};
+constexpr milliseconds kReloadToStop{100};
+constexpr milliseconds kStopToReload{700};
+/// Maximum time until the callers' last calls have ended.
+constexpr seconds kLastCallTimeout{12};
+
+/// One caller of this many is slow.
+constexpr std::size_t kSlowCallerInterval = 4;
+constexpr std::size_t kCrashingCallers = 3;
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
 constexpr std::size_t kFirstBackendHost = 70;
@@ -59,8 +72,8 @@
   std::optional<common::Time> end_at;
 };
 
-/// Action that ends a fault.
-struct FaultEnd {
+/// Later step of a fault, such as its end.
+struct FaultStep {
   common::Time at;
   std::function<void()> run;
 };
@@ -89,7 +102,8 @@
     SetUp();
     plan_ = MakeFaultPlan({.seed = options_.seed,
                            .duration = options_.faults,
-                           .mean_interval = options_.mean_interval});
+                           .mean_interval = options_.mean_interval,
+                           .crash_on_part = options_.crash_on_part});
     RunFaults();
     RunCalm();
     ReadBack();
@@ -129,12 +143,24 @@
       const std::size_t host = kFirstBackendHost + i;
       constexpr std::uint32_t kStreamSlots = 16;
       backend.server = std::make_unique<FakeBackend>(
-          loop_, BackendOptions{.service = plain ? "app" : "llm",
-                                .listen = Address(host),
-                                .slots = plain ? 8 : kStreamSlots,
-                                .on_run = [this](const RunCall& run) {
-                                  requests_.OnRun(run, common::BootClock::now());
-                                }});
+          loop_,
+          BackendOptions{
+              .service = plain ? "app" : "llm",
+              .listen = Address(host),
+              .slots = plain ? 8 : kStreamSlots,
+              .on_run =
+                  [this, link = Address(host + kProxyOffset)](const RunCall& run) {
+                    const common::Time now = common::BootClock::now();
+                    requests_.OnRun(run, now);
+                    answers_.OnRun(run.id, run.backend_server, link, now);
+                  },
+              .on_crashing_arrival = [this](const std::string& id) { CountCrashingArrival(id); },
+              .on_crashing_run =
+                  [this, i] {
+                    const common::Time now = common::BootClock::now();
+                    crashing_part_.OnCrash(now);
+                    CrashBackend(backends_[i], now);
+                  }});
       backend.link = ValueOrThrow(Link::Start(loop_, Address(host + kProxyOffset), Address(host)));
       backend.failure_domain = "domain-" + std::to_string(i % 3);
       StartBackend(backend);
@@ -153,6 +179,53 @@
     backend.end_at.reset();
   }
 
+  /// Ends the server's process: its connections are reset, or closed inside an event.
+  void CrashBackend(Backend& backend, common::Time now) {
+    disturbances_.Add(backend.server->id(), now);
+    if (random_.Chance(0.5)) backend.link->Reset();
+    backend.server->Crash(/*inside_event=*/true);
+    backend.start_at = now + kBackendRestartDelay;
+  }
+
+  void CountCrashingArrival(const std::string& id) {
+    const common::Time now = common::BootClock::now();
+    const std::string entry = requests_.EntryOf(id);
+    const common::Time from = now - CrashingPartBounds{}.contact_period;
+    crashing_part_.OnArrival(now, !disturbances_.Affected(entry, from, now) &&
+                                      !disturbances_.Affected(RestartOf(entry), from, now));
+  }
+
+  /// Part of the DisturbanceLog for the starts and planned stops of a process.
+  static std::string RestartOf(const std::string& entry) { return "restart of " + entry; }
+
+  void BeginCrashOnPart(const PlannedFault& fault, common::Time now) {
+    const std::string part = "f" + std::to_string(fault.target);
+    for (Backend& backend : backends_) backend.server->SetCrashingPart(part);
+    crashing_part_.Begin(now);
+    for (std::size_t i = 0; i < kCrashingCallers; ++i) {
+      crashing_callers_.push_back(std::make_shared<Caller>(
+          loop_,
+          CallerOptions{.name = "s" + std::to_string(options_.seed) + "-crash-" + std::to_string(i),
+                        .seed = random_.Next(),
+                        .customer = kCustomerA,
+                        .key = kKeyA,
+                        .entries = ListenersOf(entries_),
+                        .extra_part = part,
+                        .on_outcome =
+                            [this](const CallOutcome& outcome) {
+                              answers_.OnEnded(outcome, TimeoutOf(outcome.kind));
+                            }},
+          requests_));
+      crashing_callers_.back()->Start();
+    }
+  }
+
+  void EndCrashOnPart() {
+    for (const auto& caller : crashing_callers_) caller->Stop();
+    crashing_part_.End(common::BootClock::now());
+    for (Backend& backend : backends_) backend.server->SetCrashingPart({});
+  }
+
   void StartPlatform() {
     auto platform = FakePlatform::Start(
         loop_, network_ + kPlatformHost + kPort, [this] { return ListServers(); }, usage_);
@@ -229,19 +302,17 @@
         std::make_shared<ConfigurationProbe>(loop_, random_.Next(), ListenersOf(members_),
                                              ListenersOf(entries_), configurations_, requests_);
     probe_->Start();
-    std::vector<std::string> addresses;
-    addresses.reserve(entries_.size());
-    for (const auto& entry : entries_) addresses.push_back(entry->http_link().address());
     for (std::size_t i = 0; i < options_.callers; ++i) {
       const bool first = i % 2 == 0;
       callers_.push_back(std::make_shared<Caller>(
           loop_,
           CallerOptions{
-              .name = "call-" + std::to_string(i),
+              .name = "s" + std::to_string(options_.seed) + "-call-" + std::to_string(i),
               .seed = random_.Next(),
               .customer = first ? kCustomerA : kCustomerB,
               .key = first ? kKeyA : kKeyB,
-              .entries = addresses,
+              .entries = ListenersOf(entries_),
+              .slow = i % kSlowCallerInterval == kSlowCallerInterval - 1,
               .on_outcome = [this](const CallOutcome& outcome) { CountOutcome(outcome); }},
           requests_));
       callers_.back()->Start();
@@ -250,6 +321,12 @@
 
   void CountOutcome(const CallOutcome& outcome) {
     constexpr std::uint16_t kUnavailable = 503;
+    answers_.OnEnded(outcome, TimeoutOf(outcome.kind));
+    const bool stream =
+        outcome.kind == CallKind::kStream || outcome.kind == CallKind::kResumableStream;
+    if (stream && !outcome.disconnected && !plan_.empty()) {
+      crashing_part_.OnSoundCall(outcome.sent_at, outcome.status == kOk && outcome.complete);
+    }
     ++counts_.calls;
     if (outcome.disconnected) {
       ++counts_.disconnected;
@@ -273,25 +350,28 @@
     if (loop_.stopped()) loop_.restart();
     loop_.run_for(kStepDuration);
     const common::Time now = common::BootClock::now();
-    for (Daemon* daemon : Daemons()) daemon->Check(now, log_);
+    for (Daemon* daemon : Daemons()) {
+      const std::uint64_t lifetime = daemon->lifetime();
+      if (!daemon->Check(now, log_)) disturbances_.Add(daemon->name(), now);
+      if (daemon->lifetime() != lifetime) disturbances_.Add(RestartOf(daemon->name()), now);
+    }
     for (Backend& backend : backends_) {
       if (backend.end_at && now >= *backend.end_at) {
-        backend.server->Crash();
+        CrashBackend(backend, now);
         backend.end_at.reset();
-        backend.start_at = now + kBackendRestartDelay;
       }
       if (backend.start_at && now >= *backend.start_at) StartBackend(backend);
     }
-    std::vector<FaultEnd> due;
-    for (auto fault_end = fault_ends_.begin(); fault_end != fault_ends_.end();) {
-      if (fault_end->at > now) {
-        ++fault_end;
+    std::vector<FaultStep> due;
+    for (auto step = fault_steps_.begin(); step != fault_steps_.end();) {
+      if (step->at > now) {
+        ++step;
         continue;
       }
-      due.push_back(std::move(*fault_end));
-      fault_end = fault_ends_.erase(fault_end);
+      due.push_back(std::move(*step));
+      step = fault_steps_.erase(step);
     }
-    for (const FaultEnd& fault_end : due) fault_end.run();
+    for (const FaultStep& step : due) step.run();
   }
 
   void RunFor(common::Duration duration) {
@@ -306,27 +386,65 @@
       ApplyFault(fault, common::BootClock::now());
     }
     while (common::BootClock::now() < faults_since_ + options_.faults) Step();
-    for (const FaultEnd& fault_end : std::exchange(fault_ends_, {})) fault_end.run();
+    for (const FaultStep& step : std::exchange(fault_steps_, {})) step.run();
+  }
+
+  void RunAt(common::Time at, std::function<void()> run) {
+    fault_steps_.push_back({.at = at, .run = std::move(run)});
+  }
+
+  /// Records a fault of `part` that lasts until `fault_end` runs.
+  void EndAfter(const PlannedFault& fault, common::Time now, const std::string& part,
+                const std::function<void()>& fault_end) {
+    disturbances_.Begin(part, now);
+    RunAt(now + fault.duration, [this, part, fault_end] {
+      fault_end();
+      disturbances_.End(part, common::BootClock::now());
+    });
+  }
+
+  void StopEntry(Daemon& entry, common::Time now) {
+    if (!entry.Stop(now)) return;
+    answers_.OnStopped(entry.name(), entry.lifetime(), now);
+    disturbances_.Add(RestartOf(entry.name()), now);
   }
 
-  void EndAfter(const PlannedFault& fault, common::Time now, std::function<void()> fault_end) {
-    fault_ends_.push_back({.at = now + fault.duration, .run = std::move(fault_end)});
+  void StopEntriesInTurn(common::Time now) {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      Daemon& entry = *entries_[i];
+      const common::Time at = now + kStopInterval * static_cast<int>(i);
+      RunAt(at, [&entry] { entry.Reload(); });
+      RunAt(at + kReloadToStop, [this, &entry] { StopEntry(entry, common::BootClock::now()); });
+      RunAt(at + kReloadToStop + kStopToReload, [&entry] { entry.Reload(); });
+    }
+  }
+
+  void RecordFault(const PlannedFault& fault, common::Time now) const {
+    const auto at = std::chrono::duration_cast<milliseconds>(now - faults_since_).count();
+    const auto lasts = std::chrono::duration_cast<milliseconds>(fault.duration).count();
+    std::ofstream(options_.folder + "/faults.txt", std::ios::app)
+        << at << " ms: " << NameOf(fault.kind) << ", entry " << fault.target % entries_.size() + 1
+        << " or member " << fault.target % members_.size() + 1 << " or link "
+        << links_[fault.target % links_.size()]->address() << " or server "
+        << backends_[fault.target % backends_.size()].server->id() << ", for " << lasts << " ms\n";
   }
 
   void ApplyFault(const PlannedFault& fault, common::Time now) {
+    RecordFault(fault, now);
     Daemon& member = *members_[fault.target % members_.size()];
     Daemon& entry = *entries_[fault.target % entries_.size()];
     Link& link = *links_[fault.target % links_.size()];
     Backend& backend = backends_[fault.target % backends_.size()];
     switch (fault.kind) {
       case FaultKind::kKillEntry:
+        disturbances_.Add(entry.name(), now);
         entry.Kill(now);
         break;
       case FaultKind::kPauseEntry:
         Pause(entry, fault, now);
         break;
       case FaultKind::kStopEntry:
-        entry.Stop(now);
+        StopEntry(entry, now);
         break;
       case FaultKind::kKillMember:
         member.Kill(now);
@@ -351,25 +469,26 @@
         break;
       case FaultKind::kDelayLink:
         link.SetDelay(kLinkDelay);
-        EndAfter(fault, now, [&link] { link.SetDelay(milliseconds(0)); });
+        EndAfter(fault, now, link.address(), [&link] { link.SetDelay(milliseconds(0)); });
         break;
       case FaultKind::kResetLink:
+        disturbances_.Add(link.address(), now);
         link.Reset();
         break;
       case FaultKind::kCutToServer:
         link.CutToServer(true);
-        EndAfter(fault, now, [&link] { link.CutToServer(false); });
+        EndAfter(fault, now, link.address(), [&link] { link.CutToServer(false); });
         break;
       case FaultKind::kCutFromServer:
         link.CutFromServer(true);
-        EndAfter(fault, now, [&link] { link.CutFromServer(false); });
+        EndAfter(fault, now, link.address(), [&link] { link.CutFromServer(false); });
         break;
       case FaultKind::kSilenceLink:
+        disturbances_.Add(link.address(), now);
         link.Silence();
         break;
       case FaultKind::kCrashBackend:
-        backend.server->Crash();
-        backend.start_at = now + kBackendRestartDelay;
+        CrashBackend(backend, now);
         break;
       case FaultKind::kReplaceBackend:
         if (backend.draining || backend.start_at) break;
@@ -378,14 +497,26 @@
         break;
       case FaultKind::kPlatformDown:
         platform_->SetUnavailable(true);
-        EndAfter(fault, now, [this] { platform_->SetUnavailable(false); });
+        EndAfter(fault, now, platform_link_->address(),
+                 [this] { platform_->SetUnavailable(false); });
+        break;
+      case FaultKind::kQuietBackend:
+        backend.server->SetQuiet(true);
+        RunAt(now + fault.duration, [&backend] { backend.server->SetQuiet(false); });
+        break;
+      case FaultKind::kStopEntriesInTurn:
+        StopEntriesInTurn(now);
+        break;
+      case FaultKind::kCrashOnPart:
+        BeginCrashOnPart(fault, now);
+        RunAt(now + fault.duration, [this] { EndCrashOnPart(); });
         break;
     }
   }
 
   void Pause(Daemon& daemon, const PlannedFault& fault, common::Time now) {
     daemon.Pause();
-    EndAfter(fault, now, [&daemon] { daemon.Resume(); });
+    EndAfter(fault, now, daemon.name(), [&daemon] { daemon.Resume(); });
   }
 
   void RunCalm() {
@@ -399,6 +530,12 @@
     for (const auto& writer : writers_) writer->Stop();
     probe_->Stop();
     RunFor(seconds(1));
+    const common::Time last_call_deadline = common::BootClock::now() + kLastCallTimeout;
+    const auto in_call = [](const auto& caller) { return caller->in_call(); };
+    while (common::BootClock::now() < last_call_deadline &&
+           std::any_of(callers_.begin(), callers_.end(), in_call)) {
+      Step();
+    }
     const auto max_failures =
         static_cast<std::size_t>(static_cast<double>(calm_calls_) * (1 - kMinServedShareWhenCalm));
     if (calm_failures_.size() <= max_failures) return;
@@ -465,7 +602,15 @@
             << requests_.runs() << "\ncalm: " << calm_calls_ << " calls, " << calm_failures_.size()
             << " not served\nconfigurations: " << configurations_.acknowledgements()
             << " acknowledged, " << configurations_.reads() << " reads; usage windows "
-            << usage_.reports().size() << "; members replaced " << unexpected_exits_ << "\n";
+            << usage_.reports().size() << "; members replaced " << unexpected_exits_
+            << "\nplanned stops of entries: " << answers_.stops()
+            << ", answers cut: " << answers_.cut_before_stop() << " sent before SIGTERM, "
+            << answers_.cut_after_stop() << " after it; calls on kept connections after SIGTERM "
+            << answers_.calls_on_kept_connections() << "\n";
+    if (options_.crash_on_part) {
+      report_ << "crashing part: " << crashing_part_.crashes() << " crashes, "
+              << crashing_part_.arrivals_after_bound() << " arrivals after the bound\n";
+    }
     for (const Violation& violation : log_.kept()) {
       report_ << "violation: " << violation.invariant << ": " << violation.detail << " (at "
               << common::ToSeconds(violation.at - faults_since_) << " s)\n";
@@ -485,6 +630,9 @@
   RequestChecker requests_{log_};
   ConfigurationChecker configurations_{log_, {}};
   UsageChecker usage_{log_};
+  DisturbanceLog disturbances_;
+  AnswerChecker answers_{log_, disturbances_, {}};
+  CrashingPartChecker crashing_part_{log_, {}};
   VersionSequence versions_;
   std::vector<Backend> backends_;
   std::unique_ptr<FakePlatform> platform_;
@@ -495,8 +643,10 @@
   std::vector<std::shared_ptr<ConfigurationWriter>> writers_;
   std::shared_ptr<ConfigurationProbe> probe_;
   std::vector<std::shared_ptr<Caller>> callers_;
+  /// Send the requests of FaultKind::kCrashOnPart.
+  std::vector<std::shared_ptr<Caller>> crashing_callers_;
   std::vector<PlannedFault> plan_;
-  std::vector<FaultEnd> fault_ends_;
+  std::vector<FaultStep> fault_steps_;
   common::Time faults_since_;
   CallCounts counts_;
   std::optional<common::Time> calm_since_;
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -148,7 +148,7 @@
     return !closed_ && in_request_ && number == request_number_;
   }
   void Respond(const ResponseHead& head, const std::string& body);
-  void StartStream(const ResponseHead& head);
+  void StartStream(const ResponseHead& head, BodyFraming framing);
   void Write(std::string_view piece);
   void EndStream();
   void SetOnClose(std::function<void(DisconnectCause)> callback);
@@ -250,8 +250,8 @@
     ended_ = true;
     connection_->Respond(head, body);
   }
-  void StartStream(const ResponseHead& head) override {
-    if (connection_->IsInProgress(number_) && !ended_) connection_->StartStream(head);
+  void StartStream(const ResponseHead& head, BodyFraming framing) override {
+    if (connection_->IsInProgress(number_) && !ended_) connection_->StartStream(head, framing);
   }
   void Write(std::string_view piece) override {
     if (connection_->IsInProgress(number_) && !ended_) connection_->Write(piece);
@@ -467,10 +467,10 @@
   Send(std::move(bytes));
 }
 
-void IncomingConnection::StartStream(const ResponseHead& head) {
+void IncomingConnection::StartStream(const ResponseHead& head, BodyFraming framing) {
   if (response_started_) return;
   response_started_ = true;
-  chunked_ = !peer_is_http_1_0_;
+  chunked_ = framing == BodyFraming::kChunked && !peer_is_http_1_0_;
   // The end of the connection completes such a response, so until the response has ended the
   // connection must not close in order, not even if the process ends.
   if (!chunked_) SetResetOnClose(true);
