Stop the exchange with control members beside the last requests of a planned stop

An entry that used its whole grace period for a stream ended late: after drained it waited for calls to control members in progress, up to their timeouts. Ruled out: the responses at the end, which take at most 60 ms.

--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -115,17 +115,9 @@
             metrics_) {}
 
   ~Impl() {
-    {
-      const std::lock_guard lock(stop_mutex_);
-      stopping_ = true;
-    }
-    stop_changed_.notify_all();
-    sync_client_.Stop();
-    rpc_server_.Stop();
-    row_subscription_ = {};
-    if (list_thread_.joinable()) list_thread_.join();
+    if (control_stop_.joinable()) control_stop_.join();
+    StopControl();
     reporter_.Stop();
-    evidence_proposer_.Stop();
     if (loop_thread_.joinable()) {
       boost::asio::post(loop_, [this] {
         server_.reset();
@@ -193,6 +185,9 @@
       // Streams may use the time until `end`, so what has been counted is handed in beside them.
       if (!flushed && end - common::BootClock::now() < kUsageFlushTimeout) {
         flushed = true;
+        // Calls to control members may take as long as their timeouts, which must not delay the end
+        // of the process.
+        control_stop_ = std::thread([this] { StopControl(); });
         FlushUsage(end);
       }
     }
@@ -208,6 +203,20 @@
   }
 
  private:
+  /// Ends all exchange with the control members except usage reports.
+  void StopControl() {
+    {
+      const std::lock_guard lock(stop_mutex_);
+      stopping_ = true;
+    }
+    stop_changed_.notify_all();
+    sync_client_.Stop();
+    rpc_server_.Stop();
+    row_subscription_ = {};
+    if (list_thread_.joinable()) list_thread_.join();
+    evidence_proposer_.Stop();
+  }
+
   void RunLoop() {
     const auto work = boost::asio::make_work_guard(loop_);
     loop_.run();
@@ -622,6 +631,8 @@
   distribution::Replica::Subscription row_subscription_;
   std::thread loop_thread_;
   std::thread list_thread_;
+  /// Runs StopControl beside the last requests of a planned stop.
+  std::thread control_stop_;
 };
 
 ForwardingNode::ForwardingNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
