Require 32 responses of a class for the estimate of a stopping entry

An entry with fewer than 32 recent responses of a class now rejects, not run, what may outlast its stop.

--- a/src/routing/response_time_estimator.cc
+++ b/src/routing/response_time_estimator.cc
@@ -9,8 +9,8 @@
 /// A rejected caller may meet another entry that is stopping, so a response that ends in time with
 /// this probability is worth more to it than a rejection.
 constexpr double kQuantile = 0.9;
-/// Responses of a class before it has an estimate.
-constexpr std::size_t kMinObservations = 8;
+/// Responses of a class before it has an estimate: of fewer, the quantile says little.
+constexpr std::size_t kMinObservations = 32;
 /// Classes that are kept; a configuration has a few.
 constexpr std::size_t kMaxClasses = 256;
 
