--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -7,12 +7,11 @@
 #include "briarwood/common/digest.h"
 #include "briarwood/http/message.h"
 #include "briarwood/observability/log_line.h"
+#include "forwarding/impl/exchange_support.h"
 
 namespace briarwood::forwarding::impl {
 
 using observability::LogLine;
-using std::chrono::milliseconds;
-
 namespace {
 
 /// Connecting within a region takes a few milliseconds. The kernel retransmits a lost SYN only
@@ -21,27 +20,12 @@
 /// A backend server responds on its own at the deadline that it was given; the entry waits this
 /// much longer for that response.
 constexpr milliseconds kDeadlineGracePeriod{150};
-/// A request may be queued until the route's target for the first event or, if that is longer, for
-/// this share of the time from its arrival to its deadline; before a retry, for this share of the
-/// time that is left.
-constexpr double kMaxQueueShare = 0.35;
-/// Attempts of one request, including those that were rejected without being run.
-constexpr std::uint32_t kMaxAttempts = 4;
-/// Interval between attempts after kMaxAttempts, and until the retry budget allows one, for a
-/// request whose response has started. Crashed servers refuse connections and stay on the list for
-/// some seconds, and all servers of a service may be full for a moment.
-constexpr milliseconds kMinRetryInterval{50};
-constexpr milliseconds kMaxRetryInterval{400};
-/// Time that must be left before the deadline for a retry.
-constexpr milliseconds kMinTimeLeft{20};
 /// Reading from the backend server pauses while more than this is buffered for the caller.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
 /// Limits on the responses that are buffered until they are complete, of one request and of all
 /// requests of the entry. A faulty server may send a body without end, and an entry may have 88 MB.
 constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{16} * 1024 * 1024;
-/// Limit on one event of a stream.
-constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
 /// Values of Retry-After for rejected callers.
 constexpr milliseconds kRetryAfterDelay{300};
 constexpr milliseconds kRetryAfterDelayWithoutConfiguration{500};
@@ -64,21 +48,9 @@
 /// Share of the shared prompt tokens that an engine does not find in its cache and has to process.
 constexpr double kUncachedShare = 0.3;
 
-/// An attempt is stalled if nothing has arrived for this multiple of the route's target for the
-/// first event or, after the first event, for the gap between events. Sound servers may be silent
-/// for longer, so a stalled attempt is kept until another one has begun to respond. In normal
-/// operation 99% of requests are answered within the target.
-constexpr int kFirstEventStallTargets = 2;
-constexpr int kGapStallTargets = 5;
-/// Lower limits of these timeouts, before and after the first event.
-constexpr milliseconds kMinFirstEventStallTimeout{250};
-constexpr milliseconds kMinGapStallTimeout{1000};
 /// Time after the start of a replacement's response in which the silent server is kept. A server
 /// may send the head of its response and break off before its first event.
 constexpr milliseconds kMaxOverlap{300};
-/// Interval between two searches for a server that replaces a silent one.
-constexpr milliseconds kMinReplacementInterval{50};
-constexpr milliseconds kMaxReplacementInterval{800};
 
 /// Share of the first event's target that the engine may take; the rest is for the network and the
 /// queue.
@@ -92,13 +64,6 @@
 /// Length of the ids of prompt parts in one log line; callers choose them.
 constexpr std::size_t kMaxLoggedPartBytes = 200;
 
-constexpr std::uint16_t kUnauthorized = 401;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kMisdirected = 421;
-constexpr std::uint16_t kBadGateway = 502;
-constexpr std::uint16_t kUnavailable = 503;
-constexpr std::uint16_t kGatewayTimeout = 504;
-
 /// \returns the ids of the parts that other requests may share, as far as a log line has room.
 std::string SharedParts(const std::vector<PromptPart>& parts) {
   std::string text;
@@ -109,13 +74,6 @@
   return text;
 }
 
-bool IsSuccess(std::uint16_t status) { return status >= 200 && status < 300; }
-bool IsServerError(std::uint16_t status) { return status >= 500; }
-
-std::int64_t Millis(common::Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 std::string_view NameOf(routing::DropReason reason) {
   switch (reason) {
     case routing::DropReason::kQueueFull:
@@ -141,6 +99,8 @@
   return "unknown";
 }
 
+}  // namespace
+
 std::string_view NameOf(http::CallEnd end) {
   switch (end) {
     case http::CallEnd::kComplete:
@@ -157,8 +117,6 @@
   return "unknown";
 }
 
-}  // namespace
-
 Exchange::Exchange(Forwarder& owner, std::uint64_t number,
                    std::shared_ptr<http::IncomingRequest> request)
     : owner_(owner),
@@ -809,220 +767,6 @@
   End("rejected", status, "backend_rejected");
 }
 
-bool Exchange::TryRetry(bool may_have_run) {
-  const common::Time now = common::BootClock::now();
-  if (!MayRetry(may_have_run, now)) return false;
-  // After an attempt that never arrived, a further one does not count against the retry budget,
-  // which metrics and settings call the repeat budget.
-  uncharged_retry_ = may_have_run || last_attempt_rejected_;
-  if (!ChargeRetry(now)) {
-    if (!response_started_) return false;
-    WaitForRetry(now);
-  } else if (sent_attempts_ < kMaxAttempts) {
-    QueueRetry(now);
-  } else {
-    WaitForRetry(now);
-  }
-  return true;
-}
-
-bool Exchange::ChargeRetry(common::Time now) {
-  if (!uncharged_retry_) return true;
-  if (!owner_.retry_budget_.TryRetry(service_, now)) {
-    owner_.metrics_.CountEvent("repeat_budget_spent");
-    return false;
-  }
-  uncharged_retry_ = false;
-  return true;
-}
-
-void Exchange::WaitForRetry(common::Time now) {
-  state_ = State::kWaiting;
-  retry_at_ = now + retry_interval_;
-  // An attempt that reaches no server costs nothing, unlike a rejected one.
-  if (last_attempt_rejected_ || uncharged_retry_) {
-    retry_interval_ = std::min(2 * retry_interval_, kMaxRetryInterval);
-  }
-}
-
-void Exchange::EndWait(common::Time now) {
-  if (deadline_ - now < kMinTimeLeft) {
-    Fail(kGatewayTimeout, "no_backend_in_time");
-  } else if (now >= retry_at_) {
-    ChargeRetry(now) ? QueueRetry(now) : WaitForRetry(now);
-  }
-}
-
-bool Exchange::MayRetry(bool may_have_run, common::Time now) const {
-  if (state_ == State::kEnded || disconnected_) return false;
-  // A response that has started is lost without a further attempt; other callers may go to another
-  // entry at once.
-  if (!response_started_ && sent_attempts_ >= kMaxAttempts) return false;
-  // Without an id of the last event, the next server would start the stream again.
-  if (response_started_ && !last_event_) return false;
-  if (deadline_ - now < kMinTimeLeft) return false;
-  if (may_have_run && !retryable()) return false;
-  if (is_trial_ && (may_have_run || last_attempt_rejected_)) return false;
-  return may_have_run_on_.size() < std::max(route_->max_attempts(), 1U);
-}
-
-bool Exchange::IsStalled(common::Time now) const {
-  if (!retryable() || attempt_->has_head != attempt_->streaming) return false;
-  if (attempt_->paused) return false;
-  const milliseconds target(route_->target_ms());
-  const milliseconds gap(route_->event_gap_target_ms());
-  const common::Duration limit =
-      attempt_->has_progress
-          ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
-          : std::max<common::Duration>(kFirstEventStallTargets * target,
-                                       kMinFirstEventStallTimeout);
-  return now - attempt_->progress_at > limit;
-}
-
-void Exchange::ReplaceSilentAttempt(common::Time now) {
-  if (silent_attempt_) {
-    may_have_run_on_.insert(attempt_->backend_server);
-    attempt_->connection->Close();
-    ReturnToSilentAttempt(AttemptResult::kFailure);
-    return;
-  }
-  if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
-  if (owner_.prompt_parts_.HasEvidence(shared_parts_)) return;
-  next_replacement_at_ = now + replacement_interval_;
-  const std::size_t ran_on =
-      may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
-  if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
-  const double work = Work();
-  const common::Tier tier = attempt_->tier;
-  if (work > 1 && !owner_.StateOf(service_).prompts.Admits(work, tier)) return;
-  owner_.placement_.Refresh(now);
-  const auto choice = owner_.placement_.Pick({.capability = {.service = service_},
-                                              .tier = tier,
-                                              .prefix_hash = PrefixHash(),
-                                              .work = work,
-                                              .avoid = attempt_->backend_server},
-                                             now);
-  if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
-  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
-  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
-  silent_attempt_ = std::exchange(attempt_, std::nullopt);
-  if (!StartAttempt(choice->id, tier, work, now)) {
-    owner_.retry_budget_.Refund(service_);
-    attempt_ = std::exchange(silent_attempt_, std::nullopt);
-    return;
-  }
-  owner_.metrics_.CountEvent("stalled");
-  // "began" is true if the response has started, see Attempt::has_progress.
-  owner_.log_.Warn(LogLine("attempt_stalled")
-                       .Add("request", facts_.id)
-                       .Add("backend", silent_attempt_->backend_server.value())
-                       .Add("silent_ms", Millis(now - silent_attempt_->progress_at))
-                       .Add("began", silent_attempt_->has_progress)
-                       .Add("replacement", choice->id.value())
-                       .text());
-}
-
-void Exchange::ReturnToSilentAttempt(AttemptResult result) {
-  Release(*std::exchange(attempt_, std::nullopt), result);
-  attempt_ = std::exchange(silent_attempt_, std::nullopt);
-  owner_.log_.Info(LogLine("attempt_resumed")
-                       .Add("request", facts_.id)
-                       .Add("backend", attempt_->backend_server.value())
-                       .Add("silent_ms", Millis(common::BootClock::now() - attempt_->progress_at))
-                       .text());
-}
-
-void Exchange::ReleaseSilentAttempt(AttemptResult result) {
-  silent_attempt_->connection->Close();
-  Release(*std::exchange(silent_attempt_, std::nullopt), result);
-}
-
-void Exchange::GiveUpSilentAttempt() {
-  owner_.log_.Info(LogLine("attempt_replaced")
-                       .Add("request", facts_.id)
-                       .Add("backend", silent_attempt_->backend_server.value())
-                       .Add("replacement", attempt_->backend_server.value())
-                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
-                       .text());
-  may_have_run_on_.insert(silent_attempt_->backend_server);
-  ReleaseSilentAttempt(AttemptResult::kFailure);
-}
-
-bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
-  if (facts.not_executed || facts.is_misdirected) return false;
-  if (IsSuccess(head.status)) return facts.has_signature;
-  return !response_started_ && !IsServerError(head.status);
-}
-
-bool Exchange::OnSilentAttemptHead(const http::ResponseHead& head) {
-  const ResponseMetadata facts = owner_.options_.codec.read_response(head);
-  if (!BelongsToRequest(facts, *silent_attempt_)) {
-    LogForeignResponse(facts, *silent_attempt_);
-    return false;
-  }
-  if (!IsDeliverable(head, facts)) {
-    if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
-    ReleaseSilentAttempt(facts.not_executed ? AttemptResult::kFull : AttemptResult::kSuccess);
-    return true;
-  }
-  may_have_run_on_.insert(attempt_->backend_server);
-  attempt_->connection->Close();
-  ReturnToSilentAttempt(AttemptResult::kInconclusive);
-  return OnHead(head);
-}
-
-void Exchange::OnSilentAttemptData(std::string_view data) {
-  const std::uint64_t attempt = silent_attempt_->number;
-  for (const StreamEvent& event : silent_attempt_->events.Feed(data)) {
-    if (IsSilentAttempt(attempt)) {
-      if (!IsProgress(event)) continue;
-      may_have_run_on_.insert(attempt_->backend_server);
-      attempt_->connection->Close();
-      ReturnToSilentAttempt(AttemptResult::kInconclusive);
-    }
-    OnEvent(event);
-    if (!IsCurrent(attempt)) return;
-  }
-  if (IsSilentAttempt(attempt) &&
-      silent_attempt_->events.incomplete_event().size() > kMaxEventBytes) {
-    OnSilentAttemptEnd(http::CallEnd::kInvalid);
-  }
-}
-
-void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
-  may_have_run_on_.insert(silent_attempt_->backend_server);
-  if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
-      silent_attempt_->events.incomplete_event().empty()) {
-    may_have_run_on_.insert(attempt_->backend_server);
-    attempt_->connection->Close();
-    ReturnToSilentAttempt(AttemptResult::kInconclusive);
-    OnEnd(end);
-    return;
-  }
-  owner_.metrics_.CountEvent(NameOf(end));
-  LogFailedAttempt(*silent_attempt_, end);
-  RecordCrash(*silent_attempt_, end);
-  ReleaseSilentAttempt(AttemptResult::kFailure);
-}
-
-common::Time Exchange::RetryQueueDeadline(common::Time now) const {
-  // Giving up a response that has started loses it.
-  if (response_started_) return deadline_ - kMinTimeLeft;
-  return now + common::FromSeconds(common::ToSeconds(deadline_ - now) * kMaxQueueShare);
-}
-
-void Exchange::QueueRetry(common::Time now) {
-  last_attempt_rejected_ = false;
-  state_ = State::kQueued;
-  queued_at_ = now;
-  Forwarder::ServiceState& state = owner_.StateOf(service_);
-  const std::uint64_t resume_from = last_event_.value_or(0);
-  state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
-  boost::asio::post(owner_.loop_, [weak = weak_from_this()] {
-    if (const auto exchange = weak.lock()) exchange->owner_.DispatchQueued(exchange->service_);
-  });
-}
-
 void Exchange::ReleaseAttempt(AttemptResult result) {
   Release(*std::exchange(attempt_, std::nullopt), result);
 }
--- /dev/null
+++ b/src/forwarding/impl/exchange_support.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "briarwood/common/time.h"
+#include "briarwood/http/outgoing.h"
+
+/// Limits, statuses and names that the files of Exchange share.
+namespace briarwood::forwarding::impl {
+
+using std::chrono::milliseconds;
+
+/// A request may be queued until the route's target for the first event or, if that is longer, for
+/// this share of the time from its arrival to its deadline; before a retry, for this share of the
+/// time that is left.
+inline constexpr double kMaxQueueShare = 0.35;
+/// Attempts of one request, including those that were rejected without being run.
+inline constexpr std::uint32_t kMaxAttempts = 4;
+/// Interval between attempts after kMaxAttempts, and until the retry budget allows one, for a
+/// request whose response has started. Crashed servers refuse connections and stay on the list for
+/// some seconds, and all servers of a service may be full for a moment.
+inline constexpr milliseconds kMinRetryInterval{50};
+inline constexpr milliseconds kMaxRetryInterval{400};
+/// Time that must be left before the deadline for a retry.
+inline constexpr milliseconds kMinTimeLeft{20};
+/// Limit on one event of a stream.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+/// Interval between two searches for a server that replaces a silent one.
+inline constexpr milliseconds kMinReplacementInterval{50};
+inline constexpr milliseconds kMaxReplacementInterval{800};
+
+inline constexpr std::uint16_t kUnauthorized = 401;
+inline constexpr std::uint16_t kNotFound = 404;
+inline constexpr std::uint16_t kMisdirected = 421;
+inline constexpr std::uint16_t kBadGateway = 502;
+inline constexpr std::uint16_t kUnavailable = 503;
+inline constexpr std::uint16_t kGatewayTimeout = 504;
+
+inline bool IsSuccess(std::uint16_t status) { return status >= 200 && status < 300; }
+inline bool IsServerError(std::uint16_t status) { return status >= 500; }
+
+inline std::int64_t Millis(common::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+[[nodiscard]] std::string_view NameOf(http::CallEnd end);
+
+}  // namespace briarwood::forwarding::impl
--- /dev/null
+++ b/src/forwarding/silent_attempt.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <utility>
+
+#include "briarwood/observability/log_line.h"
+#include "forwarding/impl/exchange.h"
+#include "forwarding/impl/exchange_support.h"
+
+namespace briarwood::forwarding::impl {
+
+using observability::LogLine;
+
+namespace {
+
+/// An attempt is stalled if nothing has arrived for this multiple of the route's target for the
+/// first event or, after the first event, for the gap between events. Sound servers may be silent
+/// for longer, so a stalled attempt is kept until another one has begun to respond. In normal
+/// operation 99% of requests are answered within the target.
+constexpr int kFirstEventStallTargets = 2;
+constexpr int kGapStallTargets = 5;
+/// Lower limits of these timeouts, before and after the first event.
+constexpr milliseconds kMinFirstEventStallTimeout{250};
+constexpr milliseconds kMinGapStallTimeout{1000};
+
+}  // namespace
+
+bool Exchange::IsStalled(common::Time now) const {
+  if (!retryable() || attempt_->has_head != attempt_->streaming) return false;
+  if (attempt_->paused) return false;
+  const milliseconds target(route_->target_ms());
+  const milliseconds gap(route_->event_gap_target_ms());
+  const common::Duration limit =
+      attempt_->has_progress
+          ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
+          : std::max<common::Duration>(kFirstEventStallTargets * target,
+                                       kMinFirstEventStallTimeout);
+  return now - attempt_->progress_at > limit;
+}
+
+void Exchange::ReplaceSilentAttempt(common::Time now) {
+  if (silent_attempt_) {
+    may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReturnToSilentAttempt(AttemptResult::kFailure);
+    return;
+  }
+  if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
+  if (owner_.prompt_parts_.HasEvidence(shared_parts_)) return;
+  next_replacement_at_ = now + replacement_interval_;
+  const std::size_t ran_on =
+      may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
+  if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
+  const double work = Work();
+  const common::Tier tier = attempt_->tier;
+  if (work > 1 && !owner_.StateOf(service_).prompts.Admits(work, tier)) return;
+  owner_.placement_.Refresh(now);
+  const auto choice = owner_.placement_.Pick({.capability = {.service = service_},
+                                              .tier = tier,
+                                              .prefix_hash = PrefixHash(),
+                                              .work = work,
+                                              .avoid = attempt_->backend_server},
+                                             now);
+  if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
+  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
+  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
+  silent_attempt_ = std::exchange(attempt_, std::nullopt);
+  if (!StartAttempt(choice->id, tier, work, now)) {
+    owner_.retry_budget_.Refund(service_);
+    attempt_ = std::exchange(silent_attempt_, std::nullopt);
+    return;
+  }
+  owner_.metrics_.CountEvent("stalled");
+  // "began" is true if the response has started, see Attempt::has_progress.
+  owner_.log_.Warn(LogLine("attempt_stalled")
+                       .Add("request", facts_.id)
+                       .Add("backend", silent_attempt_->backend_server.value())
+                       .Add("silent_ms", Millis(now - silent_attempt_->progress_at))
+                       .Add("began", silent_attempt_->has_progress)
+                       .Add("replacement", choice->id.value())
+                       .text());
+}
+
+void Exchange::ReturnToSilentAttempt(AttemptResult result) {
+  Release(*std::exchange(attempt_, std::nullopt), result);
+  attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  owner_.log_.Info(LogLine("attempt_resumed")
+                       .Add("request", facts_.id)
+                       .Add("backend", attempt_->backend_server.value())
+                       .Add("silent_ms", Millis(common::BootClock::now() - attempt_->progress_at))
+                       .text());
+}
+
+void Exchange::ReleaseSilentAttempt(AttemptResult result) {
+  silent_attempt_->connection->Close();
+  Release(*std::exchange(silent_attempt_, std::nullopt), result);
+}
+
+void Exchange::GiveUpSilentAttempt() {
+  owner_.log_.Info(LogLine("attempt_replaced")
+                       .Add("request", facts_.id)
+                       .Add("backend", silent_attempt_->backend_server.value())
+                       .Add("replacement", attempt_->backend_server.value())
+                       .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
+                       .text());
+  may_have_run_on_.insert(silent_attempt_->backend_server);
+  ReleaseSilentAttempt(AttemptResult::kFailure);
+}
+
+bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
+  if (facts.not_executed || facts.is_misdirected) return false;
+  if (IsSuccess(head.status)) return facts.has_signature;
+  return !response_started_ && !IsServerError(head.status);
+}
+
+bool Exchange::OnSilentAttemptHead(const http::ResponseHead& head) {
+  const ResponseMetadata facts = owner_.options_.codec.read_response(head);
+  if (!BelongsToRequest(facts, *silent_attempt_)) {
+    LogForeignResponse(facts, *silent_attempt_);
+    return false;
+  }
+  if (!IsDeliverable(head, facts)) {
+    if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
+    ReleaseSilentAttempt(facts.not_executed ? AttemptResult::kFull : AttemptResult::kSuccess);
+    return true;
+  }
+  may_have_run_on_.insert(attempt_->backend_server);
+  attempt_->connection->Close();
+  ReturnToSilentAttempt(AttemptResult::kInconclusive);
+  return OnHead(head);
+}
+
+void Exchange::OnSilentAttemptData(std::string_view data) {
+  const std::uint64_t attempt = silent_attempt_->number;
+  for (const StreamEvent& event : silent_attempt_->events.Feed(data)) {
+    if (IsSilentAttempt(attempt)) {
+      if (!IsProgress(event)) continue;
+      may_have_run_on_.insert(attempt_->backend_server);
+      attempt_->connection->Close();
+      ReturnToSilentAttempt(AttemptResult::kInconclusive);
+    }
+    OnEvent(event);
+    if (!IsCurrent(attempt)) return;
+  }
+  if (IsSilentAttempt(attempt) &&
+      silent_attempt_->events.incomplete_event().size() > kMaxEventBytes) {
+    OnSilentAttemptEnd(http::CallEnd::kInvalid);
+  }
+}
+
+void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
+  may_have_run_on_.insert(silent_attempt_->backend_server);
+  if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
+      silent_attempt_->events.incomplete_event().empty()) {
+    may_have_run_on_.insert(attempt_->backend_server);
+    attempt_->connection->Close();
+    ReturnToSilentAttempt(AttemptResult::kInconclusive);
+    OnEnd(end);
+    return;
+  }
+  owner_.metrics_.CountEvent(NameOf(end));
+  LogFailedAttempt(*silent_attempt_, end);
+  RecordCrash(*silent_attempt_, end);
+  ReleaseSilentAttempt(AttemptResult::kFailure);
+}
+
+}  // namespace briarwood::forwarding::impl
