Count a server as having run a request only if the request was sent to it

A replacement that was still connecting when the silent server went on, or a silent attempt that never connected, counted towards the route's attempts and turned a true 503 into a 502; found by the review from reading, no caller was seen to lose by it. The stop's check of sent_at is now used in all these places, and a silent server that turns out to be another one counts as failed instead of sound. The tests of answers, stops, crashing parts and faulty servers pass.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -202,7 +202,7 @@
 void Exchange::OnStop() {
   if (state_ == State::kEnded) return;
   if (attempt_) {
-    if (attempt_->connection->sent_at()) may_have_run_on_.insert(attempt_->backend_server);
+    NoteRun(*attempt_);
     attempt_->connection->Close();
     ReleaseAttempt(AttemptResult::kInconclusive);
   }
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -168,6 +168,8 @@
 
   /// Sends the request to another backend server if one has room and a retry is allowed.
   void ReplaceSilentAttempt(common::Time now);
+  /// Records that the server of an attempt may have run the request, if it was sent.
+  void NoteRun(const Attempt& attempt);
   /// Ends the current attempt and goes on with the silent one.
   void ReturnToSilentAttempt(AttemptResult result);
   /// Goes on with the current attempt, which has replaced the silent one.
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -38,7 +38,7 @@
 
 void Exchange::ReplaceSilentAttempt(common::Time now) {
   if (silent_attempt_) {
-    may_have_run_on_.insert(attempt_->backend_server);
+    NoteRun(*attempt_);
     attempt_->connection->Close();
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
@@ -79,6 +79,10 @@
                        .text());
 }
 
+void Exchange::NoteRun(const Attempt& attempt) {
+  if (attempt.connection->sent_at()) may_have_run_on_.insert(attempt.backend_server);
+}
+
 void Exchange::ReturnToSilentAttempt(AttemptResult result) {
   Release(*std::exchange(attempt_, std::nullopt), result);
   attempt_ = std::exchange(silent_attempt_, std::nullopt);
@@ -101,7 +105,7 @@
                        .Add("replacement", attempt_->backend_server.value())
                        .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
                        .text());
-  may_have_run_on_.insert(silent_attempt_->backend_server);
+  NoteRun(*silent_attempt_);
   ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
@@ -119,10 +123,13 @@
   }
   if (!IsDeliverable(head, facts)) {
     if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
-    ReleaseSilentAttempt(facts.not_executed ? AttemptResult::kFull : AttemptResult::kSuccess);
+    const bool full = facts.not_executed && !facts.is_misdirected;
+    ReleaseSilentAttempt(full                   ? AttemptResult::kFull
+                         : facts.is_misdirected ? AttemptResult::kFailure
+                                                : AttemptResult::kSuccess);
     return true;
   }
-  may_have_run_on_.insert(attempt_->backend_server);
+  NoteRun(*attempt_);
   attempt_->connection->Close();
   ReturnToSilentAttempt(AttemptResult::kInconclusive);
   return OnHead(head);
@@ -133,7 +140,7 @@
   for (const StreamEvent& event : silent_attempt_->events.Feed(data)) {
     if (IsSilentAttempt(attempt)) {
       if (!IsProgress(event)) continue;
-      may_have_run_on_.insert(attempt_->backend_server);
+      NoteRun(*attempt_);
       attempt_->connection->Close();
       ReturnToSilentAttempt(AttemptResult::kInconclusive);
     }
@@ -147,10 +154,10 @@
 }
 
 void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
-  may_have_run_on_.insert(silent_attempt_->backend_server);
+  if (end != http::CallEnd::kNotSent) NoteRun(*silent_attempt_);
   if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
       silent_attempt_->events.incomplete_event().empty()) {
-    may_have_run_on_.insert(attempt_->backend_server);
+    NoteRun(*attempt_);
     attempt_->connection->Close();
     ReturnToSilentAttempt(AttemptResult::kInconclusive);
     OnEnd(end);
