--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "briarwood/common/digest.h"
 #include "platform/names.h"
 #include "soak/configuration_source.h"
 
@@ -12,6 +13,8 @@
 
 constexpr milliseconds kMinCallDelay{10};
 constexpr std::uint64_t kCallDelaySpreadMs = 80;
+constexpr milliseconds kMinSlowCallDelay{500};
+constexpr std::uint64_t kSlowCallDelaySpreadMs = 2500;
 constexpr milliseconds kConnectTimeout{1000};
 /// Additional wait for a response after the deadline of the call.
 constexpr milliseconds kResponseGracePeriod{1000};
@@ -27,6 +30,8 @@
                                      {CallKind::kRetryable, "/read/slot"},
                                      {CallKind::kStream, "/ask/question"},
                                      {CallKind::kResumableStream, "/draft/plan"}};
+constexpr std::size_t kFirstStreamRoute = 2;
+constexpr std::uint64_t kSharedParts = 6;
 
 }  // namespace
 
@@ -44,12 +49,23 @@
     if (connection_) connection_->Close();
     return;
   }
-  timer_.expires_after(kMinCallDelay + milliseconds(random_.Below(kCallDelaySpreadMs)));
+  timer_.expires_after(options_.slow
+                           ? kMinSlowCallDelay + milliseconds(random_.Below(kSlowCallDelaySpreadMs))
+                           : kMinCallDelay + milliseconds(random_.Below(kCallDelaySpreadMs)));
   timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     if (!error) self->Send();
   });
 }
 
+std::string Caller::PromptParts() const {
+  // Requests share the first part; some share the second, and the last belongs to the request.
+  const std::uint64_t hash = common::Hash64(outcome_.id);
+  const std::string second = "b" + std::to_string(hash % kSharedParts) + ":150,";
+  const std::string extra = options_.extra_part.empty() ? "" : options_.extra_part + ":60,";
+  return "a1:400," + (hash % 2 == 0 ? extra + second : second + extra) + std::to_string(hash) +
+         ":50";
+}
+
 http::RequestHead Caller::MakeHead(const std::string& path) const {
   http::RequestHead head{.method = "POST", .target = path, .headers = {}};
   head.headers.Add("Host", kHost);
@@ -57,27 +73,39 @@
   head.headers.Add(platform::kAuthorization, "Bearer " + options_.key);
   head.headers.Add(platform::kDeadlineMs, std::to_string(TimeoutOf(outcome_.kind).count()));
   head.headers.Add(platform::kTokenUsage, "600,80");
-  head.headers.Add(platform::kPrefixHash, "a1:400,b2:150,c3:50");
+  head.headers.Add(platform::kPrefixHash, PromptParts());
   return head;
 }
 
+void Caller::Connect(common::Time now) {
+  if (connection_) connection_->Close();
+  entry_ = &options_.entries[random_.Below(options_.entries.size())];
+  entry_lifetime_ = entry_->lifetime();
+  connected_at_ = now;
+  connection_ = http::OutgoingConnection::Create(loop_, *http::ParseEndpoint(entry_->address));
+}
+
 void Caller::Send() {
-  const CallRoute& route = kCallRoutes[random_.Below(std::size(kCallRoutes))];
+  const std::size_t first = options_.extra_part.empty() ? 0 : kFirstStreamRoute;
+  const CallRoute& route = kCallRoutes[first + random_.Below(std::size(kCallRoutes) - first)];
   const common::Time now = common::BootClock::now();
+  if (!connection_ || !connection_->reusable() || connection_->HasInput()) Connect(now);
   in_call_ = true;
   outcome_ = {.id = options_.name + "-" + std::to_string(++number_),
               .kind = route.kind,
+              .entry = entry_->name,
+              .entry_address = entry_->address,
+              .entry_lifetime = entry_lifetime_,
+              .connected_at = connected_at_,
               .sent_at = now,
               .ended_at = now};
   response_ = {};
   const std::string body = "body of " + outcome_.id;
-  checker_.OnSent(
-      outcome_.id,
-      {.kind = route.kind, .target = route.path, .body = body, .customer = options_.customer});
-  if (!connection_ || !connection_->reusable()) {
-    const std::string& entry = options_.entries[random_.Below(options_.entries.size())];
-    connection_ = http::OutgoingConnection::Create(loop_, *http::ParseEndpoint(entry));
-  }
+  checker_.OnSent(outcome_.id, {.kind = route.kind,
+                                .target = route.path,
+                                .body = body,
+                                .customer = options_.customer,
+                                .entry = entry_->name});
   const std::uint64_t number = number_;
   const auto self = shared_from_this();
   connection_->Send(http::SerializeRequest(MakeHead(route.path), body.size(), /*has_body=*/true),
@@ -111,12 +139,14 @@
   }
   outcome_.status = response_.status;
   outcome_.complete = response_.complete;
+  outcome_.not_sent = end == http::CallEnd::kNotSent;
   Finish();
 }
 
 void Caller::Abandon(bool early) {
   connection_->Close();
   connection_.reset();
+  outcome_.status = response_.status;
   outcome_.disconnected = early;
   Finish();
 }
--- a/tests/entry/whole_path_test.cc
+++ b/tests/entry/whole_path_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 
+#include "briarwood/requests/run_codec.h"
 #include "support/test_fleet.h"
 
 namespace briarwood::entry {
@@ -84,5 +85,63 @@
   EXPECT_EQ(calls, 1U);
 }
 
+// Guards against a non-idempotent call that is given up, with an unknown outcome and nothing
+// gained, because its agent takes some seconds to accept it.
+TEST(WholePathTest, WaitsForTheAgentOfACallThatCannotBeRepeated) {
+  RawServer slow([](const RawServer::Connection& connection, const RawServer::Request& request) {
+    if (request.path != "/internal/run") return;
+    const std::optional<schema::RunRequest> run = requests::DecodeRunRequest(request.body);
+    ASSERT_TRUE(run.has_value());
+    std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+    std::string events;
+    const auto add = [&](schema::RunEvent event) {
+      event.set_request_id(run->request_id());
+      event.set_entry_incarnation(run->entry_incarnation());
+      event.set_attempt(run->attempt());
+      events += requests::EncodeRunEvent(event);
+    };
+    schema::RunEvent accepted;
+    accepted.mutable_accepted();
+    add(accepted);
+    schema::RunEvent answer;
+    answer.mutable_answer()->mutable_answer()->set_status(201);
+    answer.mutable_answer()->mutable_answer()->set_body("booked");
+    add(answer);
+    schema::RunEvent end;
+    end.mutable_end();
+    add(end);
+    connection.Respond("200 OK", events);
+  });
+  TestFleet fleet;
+  EntryNode& entry = fleet.AddEntry();
+  fleet.AddServiceWithForeignAgentAddress("service-1", slow.address());
+  fleet.Configure();
+  const std::string response =
+      RawCall(entry.port(), MakePost("/bookings", "{}", kKey, "Idempotency-Key: key-1\r\n"))
+          .Finish();
+  EXPECT_NE(response.find(" 201 "), std::string::npos) << response;
+  EXPECT_NE(response.find("booked"), std::string::npos) << response;
+}
+
+// Guards against a planned stop that ends while a request still has time until its deadline.
+TEST(WholePathTest, StopWaitsForRequestsUntilTheirDeadlines) {
+  TestFleet fleet;
+  ScriptedBackend engine({.hold_before = 2});
+  EntryNode& entry = fleet.AddEntry();
+  agent::AgentNode& agent = fleet.AddEngine("engine-1", engine);
+  fleet.Configure();
+  RawCall call(entry.port(), MakePost("/v1/completions", kPrompt));
+  ASSERT_TRUE(call.WaitFor("t1 "));
+  std::thread release([&engine] {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    engine.Release();
+  });
+  std::thread stop([&agent] { EXPECT_TRUE(agent.Drain(std::chrono::milliseconds(200))); });
+  EXPECT_TRUE(entry.Drain(std::chrono::milliseconds(200)));
+  release.join();
+  stop.join();
+  EXPECT_NE(call.Finish().find("[DONE]"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace briarwood::entry
