Add failing tests of state that is used before it is durable, and a disk in memory that loses it

The files in memory took what survived a loss of power, or the end of a process, for durable, and kept or lost the changes of a folder only in order, so no test could show it. They now keep apart the end of a process (KillAfter) and a loss of power (Crash), and lose each folder change independently. The simulation of the group kills processes without a loss of power and takes the power of all members at once.

--- a/include/briarwood/storage/memory_files.h
+++ b/include/briarwood/storage/memory_files.h
@@ -14,11 +14,13 @@
 namespace briarwood::storage {
 
 /// In-memory disk that tracks written and synced data separately. It is shared by copies of
-/// MemoryFiles, so that it outlives a simulated process.
+/// MemoryFiles, so that it outlives a simulated process: the files of a process that ends remain as
+/// they are, and what it has not synced is still lost at the next loss of power.
 class MemoryDisk {
  public:
-  /// Discards unsynced data, except for a random part of each unsynced tail, which may be damaged,
-  /// and a random number of the unsynced folder changes.
+  /// Simulates a loss of power: discards unsynced data, except for a random part of each unsynced
+  /// tail, which may be damaged, and keeps or discards each unsynced folder change independently.
+  /// What remains without a sync may be lost at the next loss of power.
   void Crash(common::Random& random);
   /// Deletes all files, including synced ones.
   void Wipe();
@@ -28,6 +30,12 @@
   /// While set, every sync fails without making anything durable. May be called at any time from
   /// any thread.
   void set_sync_fails(bool fails) noexcept { sync_fails_ = fails; }
+  /// Simulates a process that is killed: after the next `operations` writes, syncs and folder
+  /// changes, all further ones fail until Restart.
+  void KillAfter(std::uint64_t operations) noexcept { operations_left_ = operations; }
+  /// \returns true if an operation has failed since KillAfter.
+  [[nodiscard]] bool killed() const noexcept { return killed_; }
+  void Restart() noexcept;
 
   /// Changes one byte of a file, whether synced or not.
   void Damage(const std::string& path, std::uint64_t offset);
@@ -44,16 +52,29 @@
     std::string synced;
   };
   using Folder = std::map<std::string, std::shared_ptr<Content>>;
+  /// Creation, renaming or removal of a file. Paths are empty where they do not apply.
+  struct Change {
+    std::string removed;
+    std::string added;
+    std::shared_ptr<Content> content;
+  };
 
   [[nodiscard]] std::shared_ptr<Content> Find(const std::string& path) const;
-  void ApplyChange(Folder changed);
+  static void Apply(const Change& change, Folder& folder);
+  /// \returns what a loss of power leaves of a file.
+  [[nodiscard]] static Content Survive(const Content& content, common::Random& random);
+  void ApplyChange(Change change);
+  /// Throws StorageError if the simulated process has been killed.
+  void CountOperation();
 
   Folder files_;
   Folder synced_files_;
-  /// States of the folder since the last sync, oldest first.
-  std::vector<Folder> unsynced_changes_;
+  /// Changes since the last sync of their folder, oldest first.
+  std::vector<Change> unsynced_changes_;
   std::uint64_t capacity_ = std::numeric_limits<std::uint64_t>::max();
   std::atomic<bool> sync_fails_ = false;
+  std::uint64_t operations_left_ = std::numeric_limits<std::uint64_t>::max();
+  bool killed_ = false;
 };
 
 class MemoryFile {
--- a/src/storage/memory_files.cc
+++ b/src/storage/memory_files.cc
@@ -21,31 +21,59 @@
   return found->second;
 }
 
-void MemoryDisk::ApplyChange(Folder changed) {
-  files_ = std::move(changed);
-  unsynced_changes_.push_back(files_);
+void MemoryDisk::Apply(const Change& change, Folder& folder) {
+  if (!change.removed.empty()) folder.erase(change.removed);
+  if (!change.added.empty()) folder[change.added] = change.content;
+}
+
+void MemoryDisk::ApplyChange(Change change) {
+  Apply(change, files_);
+  unsynced_changes_.push_back(std::move(change));
+}
+
+void MemoryDisk::CountOperation() {
+  if (operations_left_ == 0) {
+    killed_ = true;
+    throw StorageError(StorageProblem::kIo, "the process was killed");
+  }
+  --operations_left_;
+}
+
+void MemoryDisk::Restart() noexcept {
+  operations_left_ = std::numeric_limits<std::uint64_t>::max();
+  killed_ = false;
 }
 
 void MemoryDisk::Crash(common::Random& random) {
-  const std::uint64_t surviving_changes = random.Below(unsynced_changes_.size() + 1);
-  files_ = surviving_changes == 0 ? synced_files_ : unsynced_changes_[surviving_changes - 1];
-  unsynced_changes_.clear();
-  synced_files_ = files_;
-  for (auto& [path, content] : files_) {
-    std::string kept = content->synced;
-    if (content->bytes.size() > kept.size()) {
-      const std::size_t tail = content->bytes.size() - kept.size();
-      kept += content->bytes.substr(kept.size(), random.Below(tail + 1));
-      const std::size_t torn_bytes = kept.size() - content->synced.size();
-      constexpr double kDamagedTailProbability = 0.3;
-      if (torn_bytes > 0 && random.Chance(kDamagedTailProbability)) {
-        kept[content->synced.size() + random.Below(torn_bytes)] ^= 1;
-      }
-    }
-    // Open files of the previous process must not modify the surviving file.
-    content = std::make_shared<Content>(Content{kept, kept});
+  constexpr double kLostChangeProbability = 0.5;
+  std::erase_if(unsynced_changes_,
+                [&](const Change&) { return random.Chance(kLostChangeProbability); });
+  // Open files of the previous process must not modify the surviving file.
+  std::map<const Content*, std::shared_ptr<Content>> survivors;
+  const auto survivor = [&](const std::shared_ptr<Content>& content) {
+    std::shared_ptr<Content>& kept = survivors[content.get()];
+    if (kept == nullptr) kept = std::make_shared<Content>(Survive(*content, random));
+    return kept;
+  };
+  for (auto& [path, content] : synced_files_) content = survivor(content);
+  files_ = synced_files_;
+  for (Change& change : unsynced_changes_) {
+    if (change.content != nullptr) change.content = survivor(change.content);
+    Apply(change, files_);
+  }
+}
+
+MemoryDisk::Content MemoryDisk::Survive(const Content& content, common::Random& random) {
+  Content kept{.bytes = content.synced, .synced = content.synced};
+  if (content.bytes.size() <= kept.bytes.size()) return kept;
+  const std::size_t tail = content.bytes.size() - kept.bytes.size();
+  kept.bytes += content.bytes.substr(kept.bytes.size(), random.Below(tail + 1));
+  const std::size_t torn_bytes = kept.bytes.size() - content.synced.size();
+  constexpr double kDamagedTailProbability = 0.3;
+  if (torn_bytes > 0 && random.Chance(kDamagedTailProbability)) {
+    kept.bytes[content.synced.size() + random.Below(torn_bytes)] ^= 1;
   }
-  synced_files_ = files_;
+  return kept;
 }
 
 void MemoryDisk::Wipe() {
@@ -75,6 +103,7 @@
 const std::string& MemoryDisk::content(const std::string& path) const { return Find(path)->bytes; }
 
 void MemoryFile::Append(std::string_view bytes) {
+  disk_->CountOperation();
   const std::uint64_t used = disk_->size();
   const std::uint64_t free_bytes = disk_->capacity_ > used ? disk_->capacity_ - used : 0;
   content_->bytes += bytes.substr(0, std::min<std::uint64_t>(free_bytes, bytes.size()));
@@ -82,6 +111,7 @@
 }
 
 void MemoryFile::Sync() {
+  disk_->CountOperation();
   if (disk_->sync_fails_) throw StorageError(StorageProblem::kIo, "sync failed");
   content_->synced = content_->bytes;
 }
@@ -101,13 +131,14 @@
 MemoryFile MemoryFiles::Open(const std::string& path) {
   const auto found = disk_->files_.find(path);
   if (found != disk_->files_.end()) return {disk_, found->second};
-  MemoryDisk::Folder changed = disk_->files_;
-  changed[path] = std::make_shared<MemoryDisk::Content>();
-  disk_->ApplyChange(std::move(changed));
+  disk_->CountOperation();
+  disk_->ApplyChange(
+      {.removed = {}, .added = path, .content = std::make_shared<MemoryDisk::Content>()});
   return {disk_, disk_->Find(path)};
 }
 
 void MemoryFiles::Truncate(const std::string& path, std::uint64_t size) {
+  disk_->CountOperation();
   if (disk_->sync_fails_) throw StorageError(StorageProblem::kIo, "sync failed");
   const std::shared_ptr<MemoryDisk::Content> content = disk_->Find(path);
   content->bytes.resize(size);
@@ -115,22 +146,25 @@
 }
 
 void MemoryFiles::Rename(const std::string& from, const std::string& to) {
-  MemoryDisk::Folder changed = disk_->files_;
-  changed[to] = disk_->Find(from);
-  changed.erase(from);
-  disk_->ApplyChange(std::move(changed));
+  disk_->CountOperation();
+  disk_->ApplyChange({.removed = from, .added = to, .content = disk_->Find(from)});
 }
 
 void MemoryFiles::Remove(const std::string& path) {
-  MemoryDisk::Folder changed = disk_->files_;
-  if (changed.erase(path) == 0) ThrowMissing(path);
-  disk_->ApplyChange(std::move(changed));
+  disk_->CountOperation();
+  static_cast<void>(disk_->Find(path));
+  disk_->ApplyChange({.removed = path, .added = {}, .content = nullptr});
 }
 
-void MemoryFiles::SyncFolder(const std::string& /*path*/) {
+void MemoryFiles::SyncFolder(const std::string& path) {
+  disk_->CountOperation();
   if (disk_->sync_fails_) throw StorageError(StorageProblem::kIo, "folder sync failed");
-  disk_->synced_files_ = disk_->files_;
-  disk_->unsynced_changes_.clear();
+  std::erase_if(disk_->unsynced_changes_, [&](const MemoryDisk::Change& change) {
+    const std::string& changed = change.added.empty() ? change.removed : change.added;
+    if (changed.substr(0, changed.rfind('/')) != path) return false;
+    MemoryDisk::Apply(change, disk_->synced_files_);
+    return true;
+  });
 }
 
 }  // namespace briarwood::storage
--- a/tests/consensus/simulated_member.cc
+++ b/tests/consensus/simulated_member.cc
@@ -51,7 +51,7 @@
   return std::nullopt;
 }
 
-void SimulatedMember::Crash(common::Random& random) {
+void SimulatedMember::Kill(common::Random& random) {
   // A write in progress may reach the disk without being synced.
   constexpr double kCrashDuringWriteProbability = 0.5;
   if (store && random.Chance(kCrashDuringWriteProbability)) {
@@ -59,12 +59,16 @@
     static_cast<void>(FlushDisk(0));
   }
   disk->set_sync_fails(false);
-  disk->Crash(random);
   store.reset();
   raft.reset();
   writes.clear();
 }
 
+void SimulatedMember::Crash(common::Random& random) {
+  Kill(random);
+  disk->Crash(random);
+}
+
 bool SimulatedMember::FlushDisk(TrueTime now) {
   std::optional<Ticket> last;
   std::vector<SnapshotWrite> snapshots;
--- a/tests/consensus/simulated_member.h
+++ b/tests/consensus/simulated_member.h
@@ -66,7 +66,9 @@
 
   /// \returns an error message if the state on the disk is unusable.
   [[nodiscard]] std::optional<std::string> Start(TrueTime now, std::uint64_t seed);
-  /// Ends the process; data that is not synced may be lost.
+  /// Ends the process, and with it a write in progress that is not synced. The files remain.
+  void Kill(common::Random& random);
+  /// Ends the process with a loss of power; data that is not synced may be lost.
   void Crash(common::Random& random);
   /// Writes and syncs all pending writes; \returns false if the disk failed.
   [[nodiscard]] bool FlushDisk(TrueTime now);
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -16,6 +16,8 @@
 constexpr TrueTime kFaultPeriod = 15'000 * kMillisecond;
 constexpr TrueTime kRecoveryPeriod = 8'000 * kMillisecond;
 constexpr double kMaxClockDrift = 0.01;
+/// Share of the crashes in which only the process ends; the others are losses of power.
+constexpr double kKillProbability = 0.5;
 
 }  // namespace
 
@@ -128,7 +130,11 @@
 void Simulation::CrashMember(SimulatedMember& member) {
   if (!member.running()) return;
   ++coverage_.crashes;
-  member.Crash(random_);
+  if (random_.Chance(kKillProbability)) {
+    member.Kill(random_);
+  } else {
+    member.Crash(random_);
+  }
   proposed_.erase(member.id);
   const TrueTime downtime = RandomBetween(10, random_.Chance(0.5) ? 300 : 2500) * kMillisecond;
   Schedule(now_ + downtime, [this, &member] { StartMember(member); });
@@ -274,9 +280,19 @@
   SimulatedMember& target = leader != nullptr && random_.Chance(0.5) ? *leader : *any;
   switch (random_.Below(8)) {
     case 0:
-    case 1:
       CrashMember(target);
       break;
+    case 1:
+      if (random_.Chance(0.5)) {
+        CrashMember(target);
+        break;
+      }
+      // All members lose power at the same time, also those whose processes are down.
+      for (const auto& [id, member] : members_) {
+        CrashMember(*member);
+        member->disk->Crash(random_);
+      }
+      break;
     case 2:
       target.paused_until =
           now_ + RandomBetween(50, random_.Chance(0.5) ? 800 : 3000) * kMillisecond;
--- a/tests/storage/log_store_test.cc
+++ b/tests/storage/log_store_test.cc
@@ -34,6 +34,20 @@
     }
   }
 
+  /// Writes entries, until the process is killed if MemoryDisk::KillAfter was called.
+  void WriteUntilKilled(std::uint64_t segment_bytes) {
+    try {
+      auto log = Open(segment_bytes);
+      if (!log.ok()) return;
+      AppendSynced(log.value(), 1, 6);
+      log.value().DeletePrefix(2);
+      log.value().Append({Entry(7, 1), Entry(8, 1)});
+      log.value().Sync();
+    } catch (const StorageError&) {
+      ASSERT_TRUE(disk_->killed());
+    }
+  }
+
   std::shared_ptr<MemoryDisk> disk_ = std::make_shared<MemoryDisk>();
 };
 
@@ -118,6 +132,41 @@
   EXPECT_FALSE(Open().ok());
 }
 
+// Guards against entries that a process wrote without a sync, that its successor loads and
+// acknowledges, and that the next loss of power takes: the log then has a gap and the member ends
+// at each start. The first process is killed at every step of its work.
+TEST_F(LogStoreTest, KeepsLoadedEntriesAcrossALossOfPower) {
+  for (const std::uint64_t segment_bytes : {std::uint64_t{200}, std::uint64_t{1} << 20}) {
+    bool killed = true;
+    for (std::uint64_t operations = 0; killed; ++operations) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        common::Random random(seed);
+        disk_->Wipe();
+        disk_->KillAfter(operations);
+        WriteUntilKilled(segment_bytes);
+        killed = disk_->killed();
+        disk_->Restart();
+        std::uint64_t acknowledged = 0;
+        {
+          auto log = Open(segment_bytes);
+          ASSERT_TRUE(log.ok()) << log.error().what();
+          acknowledged = log.value().last_index() + 2;
+          AppendSynced(log.value(), acknowledged - 1, acknowledged);
+        }
+        for (int loss = 1; loss <= 2; ++loss) {
+          disk_->Crash(random);
+          auto log = Open(segment_bytes);
+          ASSERT_TRUE(log.ok()) << operations << " operations, seed " << seed << ", loss " << loss
+                                << ": " << log.error().what();
+          ASSERT_EQ(log.value().last_index(), acknowledged) << operations << ", seed " << seed;
+          ++acknowledged;
+          AppendSynced(log.value(), acknowledged, acknowledged);
+        }
+      }
+    }
+  }
+}
+
 // Guards against acknowledging writes after a failed sync or a full disk, even if the disk
 // recovers.
 TEST_F(LogStoreTest, RejectsWritesAfterAFailure) {
--- a/tests/storage/snapshot_store_test.cc
+++ b/tests/storage/snapshot_store_test.cc
@@ -55,6 +55,41 @@
   }
 }
 
+// Guards against a snapshot whose renaming was not durable when the process was killed: its
+// successor loaded it and removed the previous one, and a loss of power then left the older one or
+// none. The first process is killed at every step of its work.
+TEST_F(SnapshotStoreTest, KeepsALoadedSnapshotAcrossALossOfPower) {
+  const std::string data(100, 'a');
+  bool killed = true;
+  for (std::uint64_t operations = 0; killed; ++operations) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      common::Random random(seed);
+      disk_->Wipe();
+      disk_->KillAfter(operations);
+      try {
+        auto store = Open();
+        for (const std::uint64_t index : {10, 20, 30}) {
+          store.value().Save(MetadataOf(index, data), data);
+        }
+      } catch (const StorageError&) {
+        ASSERT_TRUE(disk_->killed());
+      }
+      killed = disk_->killed();
+      disk_->Restart();
+      std::uint64_t loaded = 0;
+      {
+        const auto store = Open();
+        ASSERT_TRUE(store.ok()) << store.error().what();
+        loaded = store.value().latest_index();
+      }
+      disk_->Crash(random);
+      const auto store = Open();
+      ASSERT_TRUE(store.ok()) << store.error().what();
+      ASSERT_EQ(store.value().latest_index(), loaded) << operations << ", seed " << seed;
+    }
+  }
+}
+
 // Guards against loading a damaged snapshot.
 TEST_F(SnapshotStoreTest, RejectsDamagedSnapshots) {
   const std::string data(1000, 'a');
