Sync the log that was loaded before entries are acknowledged on top of it

Callers saw a confirmed change that was lost, and after a loss of power of all VMs no service: members ended at each start with 'log/0...2.log is damaged: entry 1437 follows entry 1435' (CONFIG, RECOVER). Cause: a process that ends between a write and its sync leaves records that are in the page cache only. Its successor loaded them, counted them as durable, opened the next segment and acknowledged on top; the next loss of power took them and left a gap before synced entries. An acknowledged entry could be lost in the same way: the tail counted towards the majority. Ruled out: damage by the truncation of a torn tail, which was synced already; votes, which the new segment repeats. The last segment is synced when it is loaded, whether or not it had a torn tail.

--- a/include/briarwood/storage/log_store.h
+++ b/include/briarwood/storage/log_store.h
@@ -38,7 +38,7 @@
 /// segments can be deleted. Not thread-safe.
 class LogStore {
  public:
-  /// Loads the log and opens a new segment.
+  /// Loads the log, makes it durable as loaded and opens a new segment.
   static common::Result<LogStore, StorageError> Open(Files files, LogStoreOptions options);
 
   /// \returns the contents that Open loaded; may be called only once.
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -99,11 +99,15 @@
     Replay(record, sequence);
     offset = found->end;
   }
-  if (offset == bytes.size()) return;
-  if (!last || WasSynced(bytes, offset)) {
-    ThrowDamaged(path, offset, "checksum mismatch in a synced record");
+  if (offset != bytes.size()) {
+    if (!last || WasSynced(bytes, offset)) {
+      ThrowDamaged(path, offset, "checksum mismatch in a synced record");
+    }
+    files_.Truncate(path, offset);
   }
-  files_.Truncate(path, offset);
+  // The previous process may have ended between a write and its sync. What it wrote is used from
+  // now on, and all later entries depend on it.
+  if (last) files_.Open(path).Sync();
 }
 
 void LogStore::Replay(const schema::LogRecord& record, std::uint64_t sequence) {
