--- a/src/storage/snapshot_store.cc
+++ b/src/storage/snapshot_store.cc
@@ -52,6 +52,8 @@
     if (const std::optional<std::uint64_t> index = IndexOf(name)) indexes.push_back(*index);
   }
   if (indexes.empty()) return;
+  // The previous process may have ended between a rename and the sync of the folder.
+  files_.SyncFolder(folder_);
   std::sort(indexes.begin(), indexes.end());
   latest_index_ = indexes.back();
   loaded_ = Read(latest_index_);
--- a/tests/consensus/simulated_member.cc
+++ b/tests/consensus/simulated_member.cc
@@ -52,11 +52,13 @@
 }
 
 void SimulatedMember::Kill(common::Random& random) {
-  // A write in progress may reach the disk without being synced.
+  // A write in progress may reach the disk in part, or without being synced.
   constexpr double kCrashDuringWriteProbability = 0.5;
+  constexpr std::uint64_t kMaxOperationsOfAWrite = 12;
   if (store && random.Chance(kCrashDuringWriteProbability)) {
-    disk->set_sync_fails(true);
+    disk->KillAfter(random.Below(kMaxOperationsOfAWrite));
     static_cast<void>(FlushDisk(0));
+    disk->Restart();
   }
   disk->set_sync_fails(false);
   store.reset();
