Sync the folder of a member's identity before the identity is used

A process that was killed between the renaming of its identity and the sync of the folder left a name that is not durable; its successor voted and acknowledged entries under it. A loss of power left a log without an id: the process joined once more, and its vote was gone. MemberIdentityTest.IsDurableOnceLoaded failed before and passes.

--- a/include/briarwood/control/member_identity.h
+++ b/include/briarwood/control/member_identity.h
@@ -9,7 +9,8 @@
 
 namespace briarwood::control {
 
-/// Reads the identity file of a data folder, which keeps the id of a member across restarts.
+/// Reads the identity file of a data folder, which keeps the id of a member across restarts, and
+/// makes it durable.
 /// \returns the identity, std::nullopt for a folder without one, or an error that describes why the
 /// file cannot be read.
 [[nodiscard]] common::Result<std::optional<schema::MemberIdentity>> LoadMemberIdentity(
--- a/src/control/member_identity.cc
+++ b/src/control/member_identity.cc
@@ -35,6 +35,8 @@
     if (!Contains(files.List(folder), std::string(kIdentityFile).substr(1))) {
       return LoadResult::Success(std::nullopt);
     }
+    // The previous process may have ended between the rename and the sync of the folder.
+    files.SyncFolder(folder);
     const std::string bytes = files.Read(folder + kIdentityFile);
     std::uint64_t checksum = 0;
     if (bytes.size() < kChecksumBytes) return LoadResult::Failure("identity file is truncated");
