Erase the identity of a removed member first, and an empty folder's leftovers before a join

A member that was killed while it erased its folder kept its identity and a log without its beginning. MemberIdentityTest.FolderIsUsableAfterAnInterruptedErase failed before and passes.

--- a/include/briarwood/control/member_identity.h
+++ b/include/briarwood/control/member_identity.h
@@ -20,8 +20,8 @@
 void SaveMemberIdentity(storage::Files& files, const std::string& folder,
                         const schema::MemberIdentity& identity);
 
-/// Deletes identity file, log and snapshots of a member that was removed from the group. Throws
-/// storage::StorageError.
+/// Deletes identity file, log and snapshots of a member that was removed from the group, or what an
+/// interrupted call left of them. Throws storage::StorageError.
 void EraseMember(storage::Files& files, const std::string& folder);
 
 }  // namespace briarwood::control
--- a/src/control/group_start.cc
+++ b/src/control/group_start.cc
@@ -107,6 +107,12 @@
   if (loaded.value()) {
     identity = *loaded.value();
   } else {
+    try {
+      // A log without an identity belongs to a previous member that was being erased.
+      EraseMember(files, folder);
+    } catch (const storage::StorageError& error) {
+      return StartResult::Failure(error.what());
+    }
     const auto peers = PeersOf({options.settings.seeds().begin(), options.settings.seeds().end()});
     const auto own = std::find_if(peers.begin(), peers.end(), [&](const auto& peer) {
       return peer.rpc_address() == OwnAddress(options.settings);
--- a/src/control/member_identity.cc
+++ b/src/control/member_identity.cc
@@ -67,18 +67,22 @@
 }
 
 void EraseMember(storage::Files& files, const std::string& folder) {
-  // The identity is deleted last: after a crash in between, the restarted member is still removed
-  // from the group and erases its folder again.
+  // The identity is deleted first: a log that has lost a part cannot be opened any more, and a
+  // process without an identity erases its folder again.
+  files.CreateFolder(folder);
+  if (Contains(files.List(folder), std::string(kIdentityFile).substr(1))) {
+    files.Remove(folder + kIdentityFile);
+    files.SyncFolder(folder);
+  }
   for (const char* part : {"/log", "/snapshots"}) {
     const std::string path = folder + part;
+    files.CreateFolder(path);
     for (const std::string& name : files.List(path)) {
       std::string file = path;
       files.Remove(file.append("/").append(name));
     }
     files.SyncFolder(path);
   }
-  files.Remove(folder + kIdentityFile);
-  files.SyncFolder(folder);
 }
 
 }  // namespace briarwood::control
