--- a/include/briarwood/storage/memory_files.h
+++ b/include/briarwood/storage/memory_files.h
@@ -50,9 +50,11 @@
   struct Content {
     std::string bytes;
     std::string synced;
+    bool is_folder = false;
   };
   using Folder = std::map<std::string, std::shared_ptr<Content>>;
-  /// Creation, renaming or removal of a file. Paths are empty where they do not apply.
+  /// Creation, renaming or removal of a file, or creation of a folder. Paths are empty where they
+  /// do not apply.
   struct Change {
     std::string removed;
     std::string added;
@@ -64,9 +66,12 @@
   /// \returns what a loss of power leaves of a file.
   [[nodiscard]] static Content Survive(const Content& content, common::Random& random);
   void ApplyChange(Change change);
+  /// Removes the files whose folder was lost.
+  void RemoveOrphans();
   /// Throws StorageError if the simulated process has been killed.
   void CountOperation();
 
+  /// Files and created folders by path. A folder without a parent always exists.
   Folder files_;
   Folder synced_files_;
   /// Changes since the last sync of their folder, oldest first.
--- a/src/control/member_disk.cc
+++ b/src/control/member_disk.cc
@@ -2,19 +2,37 @@
 
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace briarwood::control {
 
 using storage::StorageError;
 using storage::StorageProblem;
 
+namespace {
+
+/// Creates folders of `parent` durably. A synced file is lost together with a folder that is not.
+void CreateFolders(storage::Files files, const std::string& parent,
+                   const std::vector<std::string>& folders) {
+  for (const std::string& folder : folders) files.CreateFolder(folder);
+  files.SyncFolder(parent);
+}
+
+}  // namespace
+
 common::Result<MemberDisk> MemberDisk::Open(const storage::Files& files, const std::string& folder,
                                             std::uint64_t segment_bytes) {
   using OpenResult = common::Result<MemberDisk>;
-  auto snapshots = storage::SnapshotStore::Open(files, folder + "/snapshots");
+  const std::string log_folder = folder + "/log";
+  const std::string snapshot_folder = folder + "/snapshots";
+  try {
+    CreateFolders(files, folder, {log_folder, snapshot_folder});
+  } catch (const StorageError& error) {
+    return OpenResult::Failure(error.what());
+  }
+  auto snapshots = storage::SnapshotStore::Open(files, snapshot_folder);
   if (!snapshots.ok()) return OpenResult::Failure(snapshots.error().what());
-  auto log =
-      storage::LogStore::Open(files, {.folder = folder + "/log", .segment_bytes = segment_bytes});
+  auto log = storage::LogStore::Open(files, {.folder = log_folder, .segment_bytes = segment_bytes});
   if (!log.ok()) return OpenResult::Failure(log.error().what());
   try {
     MemberDisk disk(std::move(log).value(), std::move(snapshots).value());
--- a/src/storage/memory_files.cc
+++ b/src/storage/memory_files.cc
@@ -13,6 +13,8 @@
   throw StorageError(StorageProblem::kIo, "no such file: " + path);
 }
 
+std::string ParentOf(const std::string& path) { return path.substr(0, path.rfind('/')); }
+
 }  // namespace
 
 std::shared_ptr<MemoryDisk::Content> MemoryDisk::Find(const std::string& path) const {
@@ -61,10 +63,23 @@
     if (change.content != nullptr) change.content = survivor(change.content);
     Apply(change, files_);
   }
+  RemoveOrphans();
+}
+
+void MemoryDisk::RemoveOrphans() {
+  const auto is_orphan = [this](const auto& item) {
+    const std::string parent = ParentOf(item.first);
+    return parent.find('/') != std::string::npos && !files_.contains(parent);
+  };
+  std::erase_if(files_, is_orphan);
+  std::erase_if(synced_files_, is_orphan);
+  std::erase_if(unsynced_changes_, [&](const Change& change) {
+    return !change.added.empty() && !files_.contains(change.added);
+  });
 }
 
 MemoryDisk::Content MemoryDisk::Survive(const Content& content, common::Random& random) {
-  Content kept{.bytes = content.synced, .synced = content.synced};
+  Content kept{.bytes = content.synced, .synced = content.synced, .is_folder = content.is_folder};
   if (content.bytes.size() <= kept.bytes.size()) return kept;
   const std::size_t tail = content.bytes.size() - kept.bytes.size();
   kept.bytes += content.bytes.substr(kept.bytes.size(), random.Below(tail + 1));
@@ -96,7 +111,9 @@
 
 std::vector<std::string> MemoryDisk::paths() const {
   std::vector<std::string> paths;
-  for (const auto& [path, content] : files_) paths.push_back(path);
+  for (const auto& [path, content] : files_) {
+    if (!content->is_folder) paths.push_back(path);
+  }
   return paths;
 }
 
@@ -116,12 +133,19 @@
   content_->synced = content_->bytes;
 }
 
-void MemoryFiles::CreateFolder(const std::string& /*path*/) {}
+void MemoryFiles::CreateFolder(const std::string& path) {
+  if (path.find('/') == std::string::npos || disk_->files_.contains(path)) return;
+  disk_->CountOperation();
+  auto folder = std::make_shared<MemoryDisk::Content>();
+  folder->is_folder = true;
+  disk_->ApplyChange({.removed = {}, .added = path, .content = std::move(folder)});
+}
 
 std::vector<std::string> MemoryFiles::List(const std::string& folder) const {
   std::vector<std::string> names;
   for (const auto& [path, content] : disk_->files_) {
-    if (path.starts_with(folder + "/")) names.push_back(path.substr(folder.size() + 1));
+    if (!content->is_folder && path.starts_with(folder + "/"))
+      names.push_back(path.substr(folder.size() + 1));
   }
   return names;
 }
@@ -161,7 +185,7 @@
   if (disk_->sync_fails_) throw StorageError(StorageProblem::kIo, "folder sync failed");
   std::erase_if(disk_->unsynced_changes_, [&](const MemoryDisk::Change& change) {
     const std::string& changed = change.added.empty() ? change.removed : change.added;
-    if (changed.substr(0, changed.rfind('/')) != path) return false;
+    if (ParentOf(changed) != path) return false;
     MemoryDisk::Apply(change, disk_->synced_files_);
     return true;
   });
