--- a/include/briarwood/control/member_identity.h
+++ b/include/briarwood/control/member_identity.h
@@ -9,7 +9,8 @@
 
 namespace briarwood::control {
 
-/// Reads the identity file of a data folder, which keeps the id of a member across restarts.
+/// Reads the identity file of a data folder, which keeps the id of a member across restarts, and
+/// makes it durable.
 /// \returns the identity, std::nullopt for a folder without one, or an error that describes why the
 /// file cannot be read.
 [[nodiscard]] common::Result<std::optional<schema::MemberIdentity>> LoadMemberIdentity(
@@ -19,8 +20,8 @@
 void SaveMemberIdentity(storage::Files& files, const std::string& folder,
                         const schema::MemberIdentity& identity);
 
-/// Deletes identity file, log and snapshots of a member that was removed from the group. Throws
-/// storage::StorageError.
+/// Deletes identity file, log and snapshots of a member that was removed from the group, or what an
+/// interrupted call left of them. Throws storage::StorageError.
 void EraseMember(storage::Files& files, const std::string& folder);
 
 }  // namespace briarwood::control
--- a/tests/consensus/simulated_member.cc
+++ b/tests/consensus/simulated_member.cc
@@ -51,20 +51,26 @@
   return std::nullopt;
 }
 
-void SimulatedMember::Crash(common::Random& random) {
-  // A write in progress may reach the disk without being synced.
+void SimulatedMember::Kill(common::Random& random) {
+  // A write in progress may reach the disk in part, or without being synced.
   constexpr double kCrashDuringWriteProbability = 0.5;
+  constexpr std::uint64_t kMaxOperationsOfAWrite = 12;
   if (store && random.Chance(kCrashDuringWriteProbability)) {
-    disk->set_sync_fails(true);
+    disk->KillAfter(random.Below(kMaxOperationsOfAWrite));
     static_cast<void>(FlushDisk(0));
+    disk->Restart();
   }
   disk->set_sync_fails(false);
-  disk->Crash(random);
   store.reset();
   raft.reset();
   writes.clear();
 }
 
+void SimulatedMember::Crash(common::Random& random) {
+  Kill(random);
+  disk->Crash(random);
+}
+
 bool SimulatedMember::FlushDisk(TrueTime now) {
   std::optional<Ticket> last;
   std::vector<SnapshotWrite> snapshots;
