--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "briarwood/common/digest.h"
 
 namespace briarwood::platform {
@@ -81,5 +83,78 @@
   EXPECT_FALSE(ReadVersion("{}").ok());
 }
 
+// Guards against a document that is not JSON and is accepted nevertheless, because the parser
+// allows more than the format does. Other readers of the document would read something else.
+TEST(ConfigurationJsonTest, RejectsDocumentsThatAreNotJson) {
+  const std::map<std::string, std::string> documents = {
+      {"a comment", "/* note */" + std::string(kValid)},
+      {"a line comment at the end", std::string(kValid) + "// note"},
+      {"a trailing comma in an object",
+       Replace(kValid, R"("version":7,)", R"("z":{"a":1,},"version":7,)")},
+      {"a trailing comma in a list",
+       Replace(kValid, R"("apiKeys":["k1","k2"])", R"("apiKeys":["k1","k2",])")},
+      {"a missing element",
+       Replace(kValid, R"("apiKeys":["k1","k2"])", R"("apiKeys":["k1",,"k2"])")},
+      {"a value without a name", Replace(kValid, R"("version":7,)", R"("version":7,5:1,)")},
+      {"a name in single quotes", Replace(kValid, R"("version":7,)", R"('z':1,"version":7,)")},
+      {"a number that is none", Replace(kValid, R"("version":7,)", R"("version":7,"z":NaN,)")},
+      {"a number without an end", Replace(kValid, R"("version":7,)", R"("version":7,"z":1e,)")},
+      {"a key twice", Replace(kValid, R"("version":7,)", R"("version":7,"version":8,)")},
+      {"a text without an end", Replace(kValid, R"("name":"t2")", "\"name\":\"t2")},
+      {"a line break in a text", Replace(kValid, R"("name":"t2")", "\"name\":\"t\n2\"")},
+      {"half a surrogate pair", Replace(kValid, R"("name":"t2")", R"("name":"t\ud800")")},
+      {"bytes that are no text", Replace(kValid, R"("name":"t2")", "\"name\":\"t\xff\"")},
+      {"a second document", std::string(kValid) + "{}"}};
+  for (const auto& [name, document] : documents) {
+    EXPECT_GT(CountProblems(document), 0U) << name;
+    EXPECT_FALSE(ReadVersion(document).ok()) << name;
+  }
+}
+
+// Guards against numbers that are cut to the width of a field and mean something else, such as a
+// weight of 2^32 that becomes 0.
+TEST(ConfigurationJsonTest, KeepsTheMeaningOfLargeNumbers) {
+  const auto read = [](const std::string& from, const std::string& to) {
+    const auto parsed =
+        MakeParser(schema::PlatformSettings()).parse("platform", Replace(kValid, from, to));
+    EXPECT_TRUE(parsed.ok()) << to;
+    return parsed.ok() ? parsed.value() : schema::Configuration();
+  };
+  const auto weighted = read(R"("weight":90)", R"("weight":4294967296)");
+  EXPECT_EQ(weighted.forward_routes(1).targets(0).weight(), 4294967296U);
+  EXPECT_EQ(CountProblems(Replace(Replace(kValid, R"("weight":90)", R"("weight":4294967296)"),
+                                  R"("weight":10)", R"("weight":4294967296)")),
+            0U);
+  EXPECT_EQ(
+      CountProblems(Replace(Replace(kValid, R"("weight":90)", R"("weight":9223372036854775808)"),
+                            R"("weight":10)", R"("weight":9223372036854775808)")),
+      0U);
+  EXPECT_GT(read(R"("attempts":2)", R"("attempts":4294967296)").forward_routes(1).max_attempts(),
+            1000U);
+  EXPECT_GT(read(R"("priority":1,"service")", R"("priority":4294967296,"service")")
+                .forward_routes(0)
+                .tier(),
+            1000U);
+  EXPECT_GT(read(R"("maxConns":130)", R"("maxConns":4294967297)").services(1).max_connections(),
+            1000U);
+  EXPECT_GT(read(R"("slots":64)", R"("slots":4294967296)").services(0).engine().slots(), 1000U);
+  // The time limit of a route is added to points in time.
+  EXPECT_LE(read(R"("timeoutMs":3000)", R"("timeoutMs":18446744073709551615)")
+                .forward_routes(0)
+                .timeout_ms(),
+            std::uint64_t{1} << 40U);
+}
+
+// Guards against a start-up time that no integer can hold.
+TEST(ConfigurationJsonTest, RejectsStartUpTimesOutOfRange) {
+  for (const char* boot : {"-1", "1e300"}) {
+    EXPECT_GT(CountProblems(Replace(kValid, R"("protocol":"h1")",
+                                    R"("scaling":{"min":1,"max":2,"bootS":)" + std::string(boot) +
+                                        R"(},"protocol":"h1")")),
+              0U)
+        << boot;
+  }
+}
+
 }  // namespace
 }  // namespace briarwood::platform
