Refuse two routes that differ only in the port of their host

The check of a configuration compared hosts whole, the entries without their port: of two routes with the hosts h and h:80 and one prefix both were accepted, and the later one won (CONFIG: an invalid configuration was taken). Both use common::NormalizeHost now. ConfigurationJsonTest.RejectsTwoRoutesOfOneHostWithAndWithoutPort failed before and passes.

--- a/src/routing/forward_table.cc
+++ b/src/routing/forward_table.cc
@@ -1,28 +1,16 @@
 #include "briarwood/routing/forward_table.h"
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/common/host_name.h"
 
 namespace briarwood::routing {
-namespace {
-
-std::string LowerCaseHost(std::string_view host) {
-  std::string name(host.substr(0, host.find(':')));
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return name;
-}
-
-}  // namespace
-
 ForwardTable::ForwardTable(ForwardConfiguration configuration)
     : configuration_(std::move(configuration)) {
   for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
     const schema::ForwardRoute& route = configuration_.routes[i];
-    hosts_[LowerCaseHost(route.host())][route.path_prefix()] = i;
+    hosts_[common::NormalizeHost(route.host())][route.path_prefix()] = i;
   }
   for (std::size_t i = 0; i < configuration_.services.size(); ++i) {
     services_[configuration_.services[i].id()] = i;
@@ -36,7 +24,7 @@
 
 const schema::ForwardRoute* ForwardTable::Match(std::string_view host,
                                                 std::string_view path) const {
-  const auto routes = hosts_.find(LowerCaseHost(host));
+  const auto routes = hosts_.find(common::NormalizeHost(host));
   if (routes == hosts_.end()) return nullptr;
   // Prefixes end with a slash, so only parts of the path that end with a slash can match.
   for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
@@ -59,11 +47,12 @@
 
 std::string ForwardTable::ChooseService(const schema::ForwardRoute& route, double draw) {
   double total = 0;
-  for (const schema::RouteTarget& target : route.targets()) total += target.weight();
+  for (const schema::RouteTarget& target : route.targets())
+    total += static_cast<double>(target.weight());
   double left = draw * total;
   for (const schema::RouteTarget& target : route.targets()) {
     if (target.weight() == 0) continue;
-    left -= target.weight();
+    left -= static_cast<double>(target.weight());
     if (left < 0) return target.service();
   }
   return {};
--- a/src/settings/forwarding_checks.cc
+++ b/src/settings/forwarding_checks.cc
@@ -1,18 +1,14 @@
 #include "briarwood/settings/forwarding_checks.h"
 
-#include <cctype>
 #include <map>
 #include <set>
 #include <utility>
 
+#include "briarwood/common/host_name.h"
+
 namespace briarwood::settings {
 namespace {
 
-std::string ToLowerCase(std::string text) {
-  for (char& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  return text;
-}
-
 void CheckRoute(const schema::ForwardRoute& route, const std::set<std::string>& services,
                 std::vector<std::string>& problems) {
   const std::string where = "forward_routes[" + route.id() + "]";
@@ -24,15 +20,15 @@
   if (route.timeout_ms() == 0) {
     problems.push_back(where + ".timeout_ms: found 0, expected at least 1");
   }
-  std::uint64_t total_weight = 0;
+  bool has_weight = false;
   for (const schema::RouteTarget& target : route.targets()) {
-    total_weight += target.weight();
+    has_weight = has_weight || target.weight() > 0;
     if (!services.contains(target.service())) {
       problems.push_back(where + ".targets: found the unknown service \"" + target.service() +
                          "\", expected one of the services");
     }
   }
-  if (total_weight == 0) {
+  if (!has_weight) {
     problems.push_back(where + ".targets: found weights that add up to 0, expected at least 1");
   }
 }
@@ -51,7 +47,7 @@
   for (const schema::ForwardRoute& route : merged.forward_routes()) {
     CheckRoute(route, services, problems);
     const auto [existing, added] = routes_by_host_and_path.emplace(
-        std::pair(ToLowerCase(route.host()), route.path_prefix()), route.id());
+        std::pair(common::NormalizeHost(route.host()), route.path_prefix()), route.id());
     if (!added) {
       problems.push_back("forward_routes[" + route.id() +
                          "]: found host and path_prefix of route \"" + existing->second +
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -156,5 +156,13 @@
   }
 }
 
+// Guards against two routes for one place, of which the later would win: the port of a host does
+// not select a route.
+TEST(ConfigurationJsonTest, RejectsTwoRoutesOfOneHostWithAndWithoutPort) {
+  EXPECT_GT(CountProblems(Replace(Replace(kValid, "/b/", "/a/"), R"("name":"r2","host":"h")",
+                                  R"("name":"r2","host":"H:80")")),
+            0U);
+}
+
 }  // namespace
 }  // namespace briarwood::platform
