Read and log what a backend server states about itself

The logs could not tell an entry that knows of a limit from one that does not. Server-Limit, Server-Leaving and the Retry-After of a 503 are read, with bounds, and written as server_statement; nothing acts on them yet. A 421 comes from another server and states nothing about the intended one.

--- a/include/briarwood/forwarding/wire_codec.h
+++ b/include/briarwood/forwarding/wire_codec.h
@@ -9,6 +9,7 @@
 
 #include "briarwood/common/ids.h"
 #include "briarwood/http/heads.h"
+#include "briarwood/routing/server_statement.h"
 
 namespace briarwood::forwarding {
 
@@ -71,6 +72,7 @@
   /// The address belongs to a backend server other than the intended one.
   bool is_misdirected = false;
   std::optional<ReportedLoad> load;
+  routing::ServerStatement statement;
 };
 
 /// Reads and writes the header fields of a platform. Makes no routing decisions.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -477,12 +477,28 @@
   owner_.metrics_.CountEvent("foreign_response");
 }
 
+void Exchange::RecordStatement(const ResponseMetadata& facts, const Attempt& attempt) {
+  const routing::ServerStatement& statement = facts.statement;
+  if (!statement.leaving && !statement.requests_per_second && !statement.back_off) return;
+  LogLine line("server_statement");
+  line.Add("backend", attempt.backend_server.value())
+      .Add("request", facts_.id)
+      .Add("leaving", statement.leaving);
+  if (statement.requests_per_second) {
+    line.Add("requests_per_second", *statement.requests_per_second);
+  }
+  if (statement.back_off) line.Add("back_off_ms", Millis(*statement.back_off));
+  owner_.log_.Info(line.text());
+  owner_.metrics_.CountEvent("server_statement");
+}
+
 bool Exchange::OnHead(const http::ResponseHead& head) {
   ResponseMetadata facts = owner_.options_.codec.read_response(head);
   if (!BelongsToRequest(facts, *attempt_)) {
     LogForeignResponse(facts, *attempt_);
     return false;
   }
+  RecordStatement(facts, *attempt_);
   if (IsDeliverable(head, facts)) attempt_->began_at = common::BootClock::now();
   attempt_->head = head;
   attempt_->has_head = true;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -116,6 +116,8 @@
   [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const;
   /// Logs a response to another request, which is skipped.
   void LogForeignResponse(const ResponseMetadata& facts, const Attempt& attempt) const;
+  /// Records what the server of an attempt states about itself.
+  void RecordStatement(const ResponseMetadata& facts, const Attempt& attempt);
   [[nodiscard]] bool IsCurrent(std::uint64_t attempt) const;
   [[nodiscard]] bool IsSilentAttempt(std::uint64_t attempt) const;
   /// Callbacks of the connection of attempt `attempt`.
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -122,6 +122,7 @@
     return false;
   }
   if (!IsDeliverable(head, facts)) {
+    RecordStatement(facts, *silent_attempt_);
     if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
     const bool full = facts.not_executed && !facts.is_misdirected;
     ReleaseSilentAttempt(full                   ? AttemptResult::kFull
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -62,6 +62,38 @@
   EXPECT_FALSE(MakeCodec().read_response(bad).load.has_value());
 }
 
+// Guards against what a server states about itself being missed or misread, and against values that
+// would keep a server unused for ever.
+TEST(CodecTest, ReadsWhatAServerStates) {
+  const auto read = [](const char* name, const char* value, std::uint16_t status = 200) {
+    http::ResponseHead head;
+    head.status = status;
+    head.headers.Add(name, value);
+    return MakeCodec().read_response(head).statement;
+  };
+  EXPECT_TRUE(read("Server-Leaving", "1").leaving);
+  EXPECT_FALSE(read("Server-Leaving", "0").leaving);
+  EXPECT_EQ(read("Server-Limit", "2.5").requests_per_second, 2.5);
+  EXPECT_EQ(read("Server-Limit", "0").requests_per_second, 0);
+  EXPECT_EQ(read("Server-Limit", std::string(400, '9').c_str()).requests_per_second, 1e6);
+  for (const char* invalid : {"", "many", "-1", "nan", "inf", "2.5x", "1e3", " "}) {
+    EXPECT_FALSE(read("Server-Limit", invalid).requests_per_second.has_value()) << invalid;
+    EXPECT_FALSE(read("Retry-After", invalid, 503).back_off.has_value()) << invalid;
+  }
+  EXPECT_EQ(read("Retry-After", "1.25", 503).back_off, std::chrono::milliseconds(1250));
+  EXPECT_EQ(read("Retry-After", "99999999", 503).back_off, std::chrono::seconds(300));
+  EXPECT_FALSE(read("Retry-After", "2", 429).back_off.has_value());
+  EXPECT_FALSE(read("Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT", 503).back_off.has_value());
+}
+
+// Guards against a statement of another server at the address that is taken for the intended one's.
+TEST(CodecTest, IgnoresWhatAnotherServerStates) {
+  http::ResponseHead head;
+  head.status = 421;
+  head.headers.Add("Server-Leaving", "1");
+  EXPECT_FALSE(MakeCodec().read_response(head).statement.leaving);
+}
+
 TEST(CodecTest, FormatsRetryAfterInFractionalSeconds) {
   EXPECT_EQ(MakeCodec().format_retry_after(std::chrono::milliseconds(350)), "0.350");
 }
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <stdexcept>
@@ -59,6 +60,9 @@
     isolated_at_ = common::BootClock::now();
   }
 
+  /// Sets the number of entries that syncing entries are told.
+  void SetEntryCount(std::uint32_t entries) { entries_ = entries; }
+
   [[nodiscard]] std::vector<schema::Command> commands() const {
     const std::lock_guard lock(mutex_);
     return commands_;
@@ -81,7 +85,8 @@
           .fence = common::Term(3),
           .index = common::LogIndex(index_)};
     };
-    source.complete = [](const schema::SyncRequest&, schema::SyncResponse& response) {
+    source.complete = [this](const schema::SyncRequest&, schema::SyncResponse& response) {
+      response.set_entry_count(entries_);
       const auto now = std::chrono::system_clock::now().time_since_epoch();
       response.set_agreed_unix_ms(static_cast<std::uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
@@ -93,6 +98,7 @@
   control::ControlState state_;
   std::uint64_t index_ = 0;
   common::Time isolated_at_;
+  std::atomic<std::uint32_t> entries_ = 0;
   std::vector<schema::Command> commands_;
   rpc::Server rpc_;
   distribution::SyncServer sync_;
