--- /dev/null
+++ b/tests/forwarding/server_statement_test.cc
@@ -0,0 +1,144 @@
+#include <gmock/gmock.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "forwarding_fixture.h"
+
+namespace briarwood::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+using ::testing::StartsWith;
+
+constexpr int kEntries = 4;
+
+/// Backend server that states something about itself, and counts the requests of each entry.
+class StatingBackend {
+ public:
+  explicit StatingBackend(std::function<std::string()> headers, std::string status = "200 OK")
+      : backend_([this, headers = std::move(headers), status = std::move(status)](
+                     const auto& connection, const auto& request) {
+          const std::string entry = EntryOf(request);
+          const std::string statement = headers();
+          {
+            const std::lock_guard lock(mutex_);
+            arrivals_.push_back({entry, steady_clock::now()});
+          }
+          std::string answer = Answer(request, "ok", status);
+          answer.insert(answer.find("\r\n") + 2, statement);
+          connection.Send(answer);
+          const std::lock_guard lock(mutex_);
+          if (!statement.empty()) told_.try_emplace(entry, steady_clock::now());
+        }) {}
+
+  [[nodiscard]] std::string address() const { return backend_.address(); }
+
+  /// \returns the arrivals from entries that were told at least `delay` before.
+  [[nodiscard]] std::vector<steady_clock::time_point> ArrivalsAfterTelling(
+      milliseconds delay) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<steady_clock::time_point> times;
+    for (const Arrival& arrival : arrivals_) {
+      const auto told = told_.find(arrival.entry);
+      if (told != told_.end() && arrival.at >= told->second + delay) times.push_back(arrival.at);
+    }
+    return times;
+  }
+
+  [[nodiscard]] std::size_t arrivals() const {
+    const std::lock_guard lock(mutex_);
+    return arrivals_.size();
+  }
+
+ private:
+  struct Arrival {
+    std::string entry;
+    steady_clock::time_point at;
+  };
+
+  static std::string EntryOf(const RawServer::Request& request) {
+    const std::string id = HeaderOf(request.head, "Briarwood-Attempt-Id");
+    return id.substr(0, id.find('-'));
+  }
+
+  mutable std::mutex mutex_;
+  std::vector<Arrival> arrivals_;
+  std::map<std::string, steady_clock::time_point> told_;
+  FakeBackend backend_;
+};
+
+class ServerStatementTest : public ForwardingTest {
+ protected:
+  void StartEntries() {
+    control_.SetEntryCount(kEntries);
+    Configure();
+    for (int i = 0; i < kEntries; ++i) {
+      entries_.push_back(MakeEntry("entry/vm-" + std::to_string(i), 10 + i));
+      ASSERT_NE(entries_.back(), nullptr);
+    }
+    for (const auto& entry : entries_) {
+      ASSERT_TRUE(Eventually([&] { return entry->Ready(); }));
+    }
+  }
+
+  /// Sends requests through all entries, one after the other at each, for `duration`.
+  void SendFor(seconds duration, const std::string& line = "POST /read/x") {
+    std::vector<std::thread> callers;
+    const auto end = steady_clock::now() + duration;
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      callers.emplace_back([this, i, end, line] {
+        for (int n = 0; steady_clock::now() < end; ++n) {
+          std::string text = Request(line, "Briarwood-Deadline-Ms: 1500\r\n", "{}");
+          text.replace(text.find("id-1"), 4, std::to_string(i) + "-" + std::to_string(n));
+          const std::string response = RawCall(entries_[i]->port(), text).Finish();
+          ++calls_;
+          if (response.starts_with("HTTP/1.1 200")) ++served_;
+          std::this_thread::sleep_for(milliseconds(15));
+        }
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+  }
+
+  /// \returns the maximum number of arrivals in any window of this length.
+  static std::size_t MaxInWindow(const std::vector<steady_clock::time_point>& times,
+                                 seconds window) {
+    std::size_t max = 0;
+    std::deque<steady_clock::time_point> recent;
+    for (const auto& at : times) {
+      recent.push_back(at);
+      while (recent.front() < at - window) recent.pop_front();
+      max = std::max(max, recent.size());
+    }
+    return max;
+  }
+
+  std::vector<std::unique_ptr<ForwardingNode>> entries_;
+  std::atomic<int> calls_ = 0;
+  std::atomic<int> served_ = 0;
+};
+
+// Guards against a server that names a limit for all entries together and gets more, because the
+// entries do not read it or each of them keeps it alone.
+TEST_F(ServerStatementTest, AllEntriesTogetherKeepTheLimitOfAServer) {
+  StatingBackend limited([] { return std::string("Server-Limit: 2\r\n"); });
+  StatingBackend other([] { return std::string(); });
+  List("a-1", limited.address());
+  List("a-2", other.address());
+  StartEntries();
+  SendFor(seconds(6));
+  const auto arrivals = limited.ArrivalsAfterTelling(milliseconds(500));
+  constexpr std::size_t kAllowedIn4Seconds = 1.5 * 4 * 2 + 5;
+  EXPECT_LE(MaxInWindow(arrivals, seconds(4)), kAllowedIn4Seconds);
+  // The limit is used, and the other server takes the rest.
+  EXPECT_GE(arrivals.size(), 4U);
+  EXPECT_EQ(served_, calls_);
+}
+
+}  // namespace
+}  // namespace briarwood::forwarding
