Keep the limit that a backend server names, by all entries together

Cause: no part of the code read the statement; the rate before and after it was the same. Ruled out: an entry that keeps the whole limit alone, and entries that learn late: the rate did not fall at all. ServerBackpressure holds what one server has stated in its lifetime. An entry takes an equal share of the limit and spaces its requests; placement sends nothing to a server without a permit, whether new requests, retries, replacements of silent attempts or trials of prompt parts, and a request that never reached the server returns its permit. A limit ends with a response without one to a request that was sent after it was last stated. The number of entries is the highest of 10 s, since a new leader counts them anew. Weighed: shares by demand, leased by the leader.

--- a/include/briarwood/control/fleet_view.h
+++ b/include/briarwood/control/fleet_view.h
@@ -72,6 +72,9 @@
     std::optional<common::Time> granted_at;
   };
 
+  /// Sets the number of entries and the position of `entry` among them.
+  static void SetPosition(const std::string& entry, std::vector<common::NodeId> entries,
+                          schema::SyncResponse& response);
   void RecordDemand(const std::string& entry,
                     const google::protobuf::RepeatedPtrField<schema::CustomerDemand>& demand,
                     common::Time now);
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -16,6 +16,7 @@
 #include "briarwood/routing/peer_comparison.h"
 #include "briarwood/routing/request.h"
 #include "briarwood/routing/running_set.h"
+#include "briarwood/routing/server_backpressure.h"
 
 namespace briarwood::routing {
 
@@ -133,6 +134,13 @@
   void SetDraining(const common::BackendServerId& id, bool draining);
   /// A server whose agent is unreachable receives no new requests.
   void SetAlive(const common::BackendServerId& id, bool alive);
+  /// Sets the place of this entry among those that share the limits that servers state.
+  void SetFleetPosition(const FleetPosition& position) { position_ = position; }
+  /// Applies what a server states about itself in the response to a request that was sent at
+  /// `sent_at`.
+  /// \returns true if this changes when requests may be sent to the server.
+  bool OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
+                   common::Time sent_at, common::Time now);
   /// Applies a load sample. A sample older than the last one is ignored.
   void Report(const LoadSample& sample, common::Time now);
   void ObserveTokenGap(const common::BackendServerId& id, common::Duration gap, common::Time now);
@@ -152,6 +160,9 @@
   /// prefill.
   void OnWorkDone(const common::BackendServerId& id, double work);
   void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone, double work = 1);
+  /// Must follow OnEnded if the request did not reach the server, so that it does not count towards
+  /// a limit of the server.
+  void OnNotSent(const common::BackendServerId& id);
   /// Report the outcome of an attempt to the circuit breaker of the server.
   void OnSuccess(const common::BackendServerId& id);
   void OnFailure(const common::BackendServerId& id, common::Time now);
@@ -204,6 +215,7 @@
     /// Time of the last update of `others_smoothed`.
     common::Time smoothed_at;
     CircuitBreaker breaker;
+    ServerBackpressure backpressure;
   };
 
   /// Number of servers considered for each prefix, in order of preference.
@@ -238,6 +250,8 @@
   static void UpdateSmoothedOthers(Server& server, common::Time now);
   [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
   [[nodiscard]] std::size_t GroupOf(const BackendDescription& description);
+  /// \returns true if neither the server itself, its agent nor the list keeps requests from it.
+  [[nodiscard]] bool TakesRequests(const Server& server, common::Time now) const;
   [[nodiscard]] bool IsUsable(const Server& server, const PlacementRequest& request,
                               common::Time now) const;
   /// True if the breaker of every otherwise usable server blocks requests and there is at least one
@@ -269,6 +283,7 @@
   /// Set during a pick from a pool whose breakers are all open.
   bool ignoring_breakers_ = false;
   std::vector<Group> groups_;
+  FleetPosition position_;
 };
 
 }  // namespace briarwood::routing
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -77,11 +77,21 @@
   }
 }
 
+void FleetView::SetPosition(const std::string& entry, std::vector<common::NodeId> entries,
+                            schema::SyncResponse& response) {
+  response.set_entry_count(static_cast<std::uint32_t>(entries.size()));
+  // All members use the same order, so that an entry keeps its position with another parent.
+  std::sort(entries.begin(), entries.end());
+  const auto found = std::lower_bound(entries.begin(), entries.end(), common::NodeId(entry));
+  if (found == entries.end() || *found != common::NodeId(entry)) return;
+  response.set_entry_index_plus_one(static_cast<std::uint32_t>(found - entries.begin()) + 1);
+}
+
 void FleetView::Complete(const schema::SyncRequest& request, schema::SyncResponse& response,
                          common::Time now) {
   if (request.node().role() != schema::NODE_ROLE_ENTRY) return;
   const std::lock_guard lock(mutex_);
-  response.set_entry_count(static_cast<std::uint32_t>(Entries(now).size()));
+  SetPosition(request.node().id(), Entries(now), response);
   AddLoads(request, response, now);
   AddShares(request, response, now);
 }
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -312,6 +312,7 @@
   if (!CheckPromptParts()) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
                               dispatch.picked.request.work);
+    owner_.placement_.OnNotSent(dispatch.choice.id);
     owner_.placement_.OnNoVerdict(dispatch.choice.id);
     return;
   }
@@ -329,6 +330,7 @@
   auto connection = owner_.pool_.Acquire(backend_server, now, sent_to_.contains(backend_server));
   if (connection == nullptr) {
     owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work);
+    owner_.placement_.OnNotSent(backend_server);
     owner_.placement_.OnFull(backend_server, /*alone=*/false, now);
     return false;
   }
@@ -479,14 +481,15 @@
 
 void Exchange::RecordStatement(const ResponseMetadata& facts, const Attempt& attempt) {
   const routing::ServerStatement& statement = facts.statement;
-  if (!statement.leaving && !statement.requests_per_second && !statement.back_off) return;
+  const bool changed = owner_.placement_.OnStatement(attempt.backend_server, statement,
+                                                     attempt.started_at, common::BootClock::now());
+  if (!changed) return;
+  // Without a limit, the server has ended the one that it stated before.
   LogLine line("server_statement");
   line.Add("backend", attempt.backend_server.value())
       .Add("request", facts_.id)
       .Add("leaving", statement.leaving);
-  if (statement.requests_per_second) {
-    line.Add("requests_per_second", *statement.requests_per_second);
-  }
+  if (statement.requests_per_second) line.Add("limit", *statement.requests_per_second);
   if (statement.back_off) line.Add("back_off_ms", Millis(*statement.back_off));
   owner_.log_.Info(line.text());
   owner_.metrics_.CountEvent("server_statement");
@@ -730,6 +733,7 @@
   LogFailedAttempt(*attempt_, end);
   const bool may_retry = RecordCrash(*attempt_, end);
   attempt_->connection->Close();
+  if (!sent) owner_.placement_.OnNotSent(attempt_->backend_server);
   if (silent_attempt_) {
     if (!sent) owner_.retry_budget_.Refund(service_);
     ReturnToSilentAttempt(AttemptResult::kFailure);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -23,6 +23,8 @@
 constexpr std::uint32_t kMinConnections = 4;
 /// Requests held until the first configuration is active; with bodies of 20 KB they take 10 MB.
 constexpr std::size_t kMaxHeldRequests = 512;
+/// Time for which the highest number of entries counts for limits. An entry is dead after 10 s.
+constexpr std::chrono::seconds kEntryCountPeriod{10};
 /// The prompt limit is logged again once it has risen or fallen by this factor.
 constexpr double kLoggedLimitChange = 1.5;
 
@@ -101,7 +103,15 @@
   if (list_read_at_ && read_at > *list_read_at_) list_read_at_ = read_at;
 }
 
-void Forwarder::SetEntryCount(std::uint32_t entries) {
+void Forwarder::SetEntries(std::uint32_t entries, std::optional<std::uint32_t> index,
+                           common::Time now) {
+  // A new leader counts the entries only as they report to it, so the count may be too low.
+  if (entries >= position_.entries || now - peak_entries_at_ > kEntryCountPeriod) {
+    position_.entries = std::max(entries, 1U);
+    position_.index = index;
+    peak_entries_at_ = now;
+    placement_.SetFleetPosition(position_);
+  }
   if (entries == entries_) return;
   log_.Info(LogLine("entry_count").Add("entries", entries).Add("before", entries_).text());
   entries_ = entries;
@@ -109,6 +119,11 @@
   ApplyBackends();
 }
 
+void Forwarder::SetAgreedTime(common::UnixMillis agreed, common::Time at) {
+  position_.shared_clock_offset = agreed - at.time_since_epoch();
+  placement_.SetFleetPosition(position_);
+}
+
 std::uint32_t Forwarder::MaxConnections(const std::string& service) const {
   const schema::Service* known = table_ ? table_->FindService(service) : nullptr;
   if (known == nullptr || known->max_connections() == 0) return 0;
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -494,14 +494,17 @@
         const common::UnixMillis time(static_cast<std::int64_t>(agreed));
         usage_counter_.SetAgreedTime(time, agreed_at);
         forwarder_.prompt_parts().SetAgreedTime(time, agreed_at);
+        forwarder_.SetAgreedTime(time, agreed_at);
       });
     }
     if (response.entry_count() != 0) {
       const milliseconds period = proposals::UsageReportPeriod(response.entry_count());
       reporter_.SetPeriod(period);
-      boost::asio::post(loop_, [this, period, entries = response.entry_count()] {
+      std::optional<std::uint32_t> index;
+      if (response.entry_index_plus_one() != 0) index = response.entry_index_plus_one() - 1;
+      boost::asio::post(loop_, [this, now, period, index, entries = response.entry_count()] {
         usage_report_period_ = period;
-        forwarder_.SetEntryCount(entries);
+        forwarder_.SetEntries(entries, index, now);
       });
     }
     if (response.has_backends()) {
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -54,7 +54,11 @@
   void SetBackends(const schema::BackendList& list, common::Time read_at);
   /// Records that the list was read again and has not changed.
   void ConfirmBackends(common::Time read_at);
-  void SetEntryCount(std::uint32_t entries);
+  /// \param index  position of this entry among the entries, if it is known
+  void SetEntries(std::uint32_t entries, std::optional<std::uint32_t> index, common::Time now);
+  /// Sets the time that the entries agree on.
+  /// \param at  time of this entry's clock to which it belongs
+  void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
   /// Replaces the fleet's evidence against prompt parts.
   void SetPromptParts(const std::vector<schema::PromptPart>& rows);
@@ -120,6 +124,9 @@
   std::optional<common::Time> list_read_at_;
   std::map<common::BackendServerId, std::string> service_of_;
   std::uint32_t entries_ = 0;
+  /// Place among the highest recent number of entries, among which limits of servers are split.
+  routing::FleetPosition position_;
+  common::Time peak_entries_at_;
   routing::Placement placement_;
   routing::ServiceRetryBudget retry_budget_;
   routing::PromptPartGuard prompt_parts_;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -155,7 +155,11 @@
 }
 
 void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
-  if (end != http::CallEnd::kNotSent) NoteRun(*silent_attempt_);
+  if (end == http::CallEnd::kNotSent) {
+    owner_.placement_.OnNotSent(silent_attempt_->backend_server);
+  } else {
+    NoteRun(*silent_attempt_);
+  }
   if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
       silent_attempt_->events.incomplete_event().empty()) {
     NoteRun(*attempt_);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -68,6 +68,7 @@
     }
     server.description = description;
     server.hash = common::Hash64(description.id.value());
+    if (known == nullptr) server.backpressure = ServerBackpressure(server.hash);
     server.group = GroupOf(description);
   }
   servers_ = std::move(servers);
@@ -96,6 +97,13 @@
   if (Server* server = Find(id)) server->draining = draining;
 }
 
+bool Placement::OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
+                            common::Time sent_at, common::Time now) {
+  Server* server = Find(id);
+  return server != nullptr &&
+         server->backpressure.OnStatement(statement, sent_at, position_, now, random_);
+}
+
 void Placement::SetAlive(const common::BackendServerId& id, bool alive) {
   if (Server* server = Find(id)) server->alive = alive;
 }
@@ -254,9 +262,14 @@
   }
 }
 
+bool Placement::TakesRequests(const Server& server, common::Time now) const {
+  return !server.draining && !server.leaving && server.alive && server.healthy &&
+         server.backpressure.Admits(position_, now);
+}
+
 bool Placement::IsUsable(const Server& server, const PlacementRequest& request,
                          common::Time now) const {
-  if (server.draining || server.leaving || !server.alive || !server.healthy) return false;
+  if (!TakesRequests(server, now)) return false;
   if (options_.features.breakers && !ignoring_breakers_ && !server.breaker.Allows(now)) {
     return false;
   }
@@ -356,7 +369,7 @@
   bool any_open = false;
   for (const std::uint32_t member : pool.members) {
     const Server& server = servers_[member];
-    if (server.draining || server.leaving || !server.alive || !server.healthy) continue;
+    if (!TakesRequests(server, now)) continue;
     if (server.breaker.Allows(now)) return false;
     any_open = true;
   }
@@ -405,6 +418,7 @@
   ++server->own_by_tier[TierSlot(tier)];
   if (alone) ++server->own_alone;
   server->breaker.OnAttempt(now);
+  server->backpressure.OnSending(position_, now);
 }
 
 void Placement::OnWorkDone(const common::BackendServerId& id, double work) {
@@ -422,6 +436,10 @@
   if (alone && server->own_alone > 0) --server->own_alone;
 }
 
+void Placement::OnNotSent(const common::BackendServerId& id) {
+  if (Server* server = Find(id)) server->backpressure.OnNotSent();
+}
+
 void Placement::OnSuccess(const common::BackendServerId& id) {
   if (Server* server = Find(id)) server->breaker.OnSuccess();
 }
--- /dev/null
+++ b/src/routing/server_backpressure.cc
@@ -0,0 +1,106 @@
+#include "briarwood/routing/server_backpressure.h"
+
+#include <algorithm>
+
+namespace briarwood::routing {
+namespace {
+
+/// Requests per second of all entries at a server that states a lower limit. Without any request,
+/// no entry would learn that the limit has ended.
+constexpr double kMinLimit = 0.25;
+/// Requests beyond the rate that a server bears at once: a fixed number, and those of a period at
+/// the rate of the limit.
+constexpr double kToleratedBurst = 5;
+constexpr double kToleratedBurstSeconds = 1.5;
+/// An entry that was idle may send the requests of this period at once.
+constexpr common::Duration kBurstPeriod = std::chrono::milliseconds(100);
+/// Length of a window, and its maximum share of the interval.
+constexpr common::Duration kWindow = std::chrono::seconds(1);
+constexpr int kMinIntervalWindows = 4;
+
+common::Duration WindowOf(common::Duration interval) {
+  return std::min(kWindow, interval / kMinIntervalWindows);
+}
+
+}  // namespace
+
+bool ServerBackpressure::OnStatement(const ServerStatement& statement, common::Time sent_at,
+                                     const FleetPosition& position, common::Time now,
+                                     common::Random& random) {
+  if (statement.requests_per_second) {
+    const bool is_new = !limit_;
+    const bool changed = limit_ != statement.requests_per_second;
+    limit_ = statement.requests_per_second;
+    limit_stated_at_ = now;
+    const common::Duration interval = Interval(position);
+    if (is_new) {
+      // Entries that learn of a limit at the same time do not start at the same time.
+      random_window_ = now + common::FromSeconds(random.Uniform() * common::ToSeconds(interval));
+      next_permit_at_ = KeepsPermits(position) ? random_window_ : now;
+    }
+    next_permit_at_ = std::min(next_permit_at_, now + interval);
+    return changed;
+  }
+  if (!limit_ || sent_at <= limit_stated_at_) return false;
+  limit_.reset();
+  return true;
+}
+
+std::optional<double> ServerBackpressure::Rate(const FleetPosition& position) const {
+  if (!limit_) return std::nullopt;
+  return std::max(*limit_, kMinLimit) / std::max(position.entries, 1U);
+}
+
+common::Duration ServerBackpressure::Interval(const FleetPosition& position) const {
+  return common::FromSeconds(1 / Rate(position).value_or(kMinLimit));
+}
+
+bool ServerBackpressure::KeepsPermits(const FleetPosition& position) const {
+  return position.entries <= kToleratedBurst + kToleratedBurstSeconds * limit_.value_or(0);
+}
+
+common::Time ServerBackpressure::WindowStart(const FleetPosition& position,
+                                             common::Time now) const {
+  const common::Duration interval = Interval(position);
+  common::Duration since_window = now - random_window_;
+  if (position.index && position.shared_clock_offset) {
+    const double turn = static_cast<double>(*position.index) / position.entries;
+    const auto shift = common::Duration(static_cast<common::Duration::rep>(
+        server_hash_ % static_cast<std::uint64_t>(interval.count())));
+    since_window = now.time_since_epoch() + *position.shared_clock_offset - shift -
+                   common::FromSeconds(turn * common::ToSeconds(interval));
+  }
+  since_window %= interval;
+  if (since_window < common::Duration(0)) since_window += interval;
+  return now - since_window;
+}
+
+common::Time ServerBackpressure::AdmitsAt(const FleetPosition& position, common::Time now) const {
+  if (!limit_) return now;
+  const common::Time at = std::max(now, next_permit_at_);
+  if (KeepsPermits(position)) return at;
+  const common::Duration interval = Interval(position);
+  const common::Time window = WindowStart(position, at);
+  return at - window < WindowOf(interval) ? at : window + interval;
+}
+
+bool ServerBackpressure::Admits(const FleetPosition& position, common::Time now) const {
+  return AdmitsAt(position, now) <= now;
+}
+
+void ServerBackpressure::OnSending(const FleetPosition& position, common::Time now) {
+  if (!limit_) return;
+  taken_permit_at_ = next_permit_at_;
+  const common::Duration interval = Interval(position);
+  // The middle between two windows, as the shared clock is known with a small error only.
+  next_permit_at_ = KeepsPermits(position)
+                        ? std::max(next_permit_at_, now - kBurstPeriod) + interval
+                        : WindowStart(position, now) + interval / 2;
+}
+
+void ServerBackpressure::OnNotSent() {
+  if (taken_permit_at_) next_permit_at_ = *taken_permit_at_;
+  taken_permit_at_.reset();
+}
+
+}  // namespace briarwood::routing
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -71,6 +71,19 @@
   EXPECT_EQ(SyncOnce(view, MakeRequest("entry-2"), kStart + seconds(11)).entry_count(), 1U);
 }
 
+// Guards against entries that use the same turn, or change it with their parent: the position does
+// not depend on the order in which the entries report.
+TEST(FleetViewTest, ReportsThePositionOfAnEntry) {
+  FleetView view;
+  for (const char* entry : {"entry-3", "entry-1", "entry-2"}) {
+    SyncOnce(view, MakeRequest(entry), kStart);
+  }
+  for (std::uint32_t i = 1; i <= 3; ++i) {
+    const std::string entry = "entry-" + std::to_string(i);
+    EXPECT_EQ(SyncOnce(view, MakeRequest(entry), kStart).entry_index_plus_one(), i);
+  }
+}
+
 // Guards against hundreds of loads in responses twice a second, and against small fleets in which
 // loads are delayed.
 TEST(FleetViewTest, SendsManyLoadsLessOften) {
