Send nothing new to a backend server that says it is leaving

A new rule of the platform (DRAIN): a server that leaves says so in all its answers, and gets no requests of an entry that has seen one. The entries learned of it from the list only, which lags, and which an entry without control does not get. A leaving server admits nothing more for its lifetime; streams in progress go on. A later lifetime starts clean: another address or time of start (read from the list where it is stated), an id that was gone, or one that no longer drains. ServerStatementTest.LeavingServerGetsNoNewRequests failed before: requests arrived 100 ms after an entry was told.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -33,6 +33,8 @@
   /// False for an engine whose role is prefill or decode: it executes only that phase of a request.
   bool takes_requests = true;
   std::uint32_t max_concurrency = 1;
+  /// Identifies the lifetime of a server that starts again with the same id; empty if unknown.
+  std::string lifetime;
 };
 
 /// Load of a backend server, counted by its agent at `taken_at` on this entry's clock.
@@ -128,9 +130,10 @@
  public:
   explicit Placement(PlacementOptions options);
 
-  /// Replaces the list of backend servers. Counts and samples of the remaining servers are kept.
+  /// Replaces the list of backend servers. Counts and samples of the remaining servers are kept;
+  /// what a server stated in an earlier lifetime is not.
   void SetBackends(const std::vector<BackendDescription>& backends);
-  /// A draining server receives no new requests.
+  /// A draining server receives no new requests. One that no longer drains has started again.
   void SetDraining(const common::BackendServerId& id, bool draining);
   /// A server whose agent is unreachable receives no new requests.
   void SetAlive(const common::BackendServerId& id, bool alive);
--- a/include/briarwood/routing/server_backpressure.h
+++ b/include/briarwood/routing/server_backpressure.h
@@ -25,7 +25,7 @@
   explicit ServerBackpressure(std::uint64_t server_hash) : server_hash_(server_hash) {}
 
   /// Applies a statement. A limit ends with a response without one, unless the request was sent
-  /// before the limit was last stated.
+  /// before the limit was last stated; `leaving` holds for the lifetime of the server.
   /// \param sent_at  time at which the request that was responded to was sent
   /// \returns true if this changes when requests may be sent.
   bool OnStatement(const ServerStatement& statement, common::Time sent_at,
@@ -33,8 +33,10 @@
 
   /// \returns true if a request may be sent now.
   [[nodiscard]] bool Admits(const FleetPosition& position, common::Time now) const;
-  /// \returns the earliest time at which a request may be sent.
-  [[nodiscard]] common::Time AdmitsAt(const FleetPosition& position, common::Time now) const;
+  /// \returns the earliest time at which a request may be sent, or nothing if the server is
+  /// leaving.
+  [[nodiscard]] std::optional<common::Time> AdmitsAt(const FleetPosition& position,
+                                                     common::Time now) const;
   /// Takes a permit for a request that is about to be sent.
   void OnSending(const FleetPosition& position, common::Time now);
   /// Returns the permit of a request that did not reach the server.
@@ -47,10 +49,14 @@
   /// \returns the time between two requests of this entry.
   [[nodiscard]] common::Duration Interval(const FleetPosition& position) const;
   [[nodiscard]] bool KeepsPermits(const FleetPosition& position) const;
+  /// \returns true if the limit changes.
+  bool ApplyLimit(const ServerStatement& statement, common::Time sent_at,
+                  const FleetPosition& position, common::Time now, common::Random& random);
   /// \returns the start of the last window of this entry that began at or before `now`.
   [[nodiscard]] common::Time WindowStart(const FleetPosition& position, common::Time now) const;
 
   std::uint64_t server_hash_ = 0;
+  bool leaving_ = false;
   std::optional<double> limit_;
   common::Time limit_stated_at_;
   /// No request is sent before this time.
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -145,7 +145,8 @@
         {.id = id,
          .failure_domain = common::FailureDomainId(backend.failure_domain()),
          .service = backend.service(),
-         .max_concurrency = backend.slots() == 0 ? kDefaultSlots : backend.slots()});
+         .max_concurrency = backend.slots() == 0 ? kDefaultSlots : backend.slots(),
+         .lifetime = backend.address() + "/" + std::to_string(backend.started_unix_ms())});
   }
   placement_.SetBackends(descriptions);
   for (const schema::ListedBackend& backend : backends_.backends()) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -66,9 +66,11 @@
     if (known == nullptr || server.description.max_concurrency != description.max_concurrency) {
       server.capacity = std::max(description.max_concurrency, 1U);
     }
+    const bool is_new_lifetime =
+        known == nullptr || server.description.lifetime != description.lifetime;
     server.description = description;
     server.hash = common::Hash64(description.id.value());
-    if (known == nullptr) server.backpressure = ServerBackpressure(server.hash);
+    if (is_new_lifetime) server.backpressure = ServerBackpressure(server.hash);
     server.group = GroupOf(description);
   }
   servers_ = std::move(servers);
@@ -94,7 +96,10 @@
 }
 
 void Placement::SetDraining(const common::BackendServerId& id, bool draining) {
-  if (Server* server = Find(id)) server->draining = draining;
+  Server* server = Find(id);
+  if (server == nullptr) return;
+  if (server->draining && !draining) server->backpressure = ServerBackpressure(server->hash);
+  server->draining = draining;
 }
 
 bool Placement::OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
--- a/src/routing/server_backpressure.cc
+++ b/src/routing/server_backpressure.cc
@@ -1,6 +1,7 @@
 #include "briarwood/routing/server_backpressure.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarwood::routing {
 namespace {
@@ -27,6 +28,14 @@
 bool ServerBackpressure::OnStatement(const ServerStatement& statement, common::Time sent_at,
                                      const FleetPosition& position, common::Time now,
                                      common::Random& random) {
+  bool changed = ApplyLimit(statement, sent_at, position, now, random);
+  if (statement.leaving) changed = !std::exchange(leaving_, true) || changed;
+  return changed;
+}
+
+bool ServerBackpressure::ApplyLimit(const ServerStatement& statement, common::Time sent_at,
+                                    const FleetPosition& position, common::Time now,
+                                    common::Random& random) {
   if (statement.requests_per_second) {
     const bool is_new = !limit_;
     const bool changed = limit_ != statement.requests_per_second;
@@ -75,7 +84,9 @@
   return now - since_window;
 }
 
-common::Time ServerBackpressure::AdmitsAt(const FleetPosition& position, common::Time now) const {
+std::optional<common::Time> ServerBackpressure::AdmitsAt(const FleetPosition& position,
+                                                         common::Time now) const {
+  if (leaving_) return std::nullopt;
   if (!limit_) return now;
   const common::Time at = std::max(now, next_permit_at_);
   if (KeepsPermits(position)) return at;
@@ -85,7 +96,8 @@
 }
 
 bool ServerBackpressure::Admits(const FleetPosition& position, common::Time now) const {
-  return AdmitsAt(position, now) <= now;
+  const std::optional<common::Time> at = AdmitsAt(position, now);
+  return at && *at <= now;
 }
 
 void ServerBackpressure::OnSending(const FleetPosition& position, common::Time now) {
--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -140,5 +140,19 @@
   EXPECT_EQ(served_, calls_);
 }
 
+// Guards against new requests to a server that says it is leaving while the list shows it as ready,
+// and against requests that are lost because of that.
+TEST_F(ServerStatementTest, LeavingServerGetsNoNewRequests) {
+  StatingBackend leaving([] { return std::string("Server-Leaving: 1\r\n"); });
+  StatingBackend other([] { return std::string(); });
+  List("a-1", leaving.address());
+  List("a-2", other.address());
+  StartEntries();
+  SendFor(seconds(2));
+  EXPECT_GE(leaving.arrivals(), 1U);
+  EXPECT_EQ(leaving.ArrivalsAfterTelling(milliseconds(100)).size(), 0U);
+  EXPECT_EQ(served_, calls_);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -46,6 +46,38 @@
   return sent;
 }
 
+// Guards against requests to a server that says it is leaving, and against a server that starts
+// again with the id it had and gets none because its previous lifetime was leaving.
+TEST(PlacementTest, StatementsHoldForOneLifetimeOfAServer) {
+  ServerStatement leaving;
+  leaving.leaving = true;
+  const auto is_used = [](Placement& placement) {
+    return placement.Pick(Request(), kStart + seconds(1)).has_value();
+  };
+  Placement placement({});
+  std::vector<BackendDescription> engines = Engines(1);
+  placement.SetBackends(engines);
+  EXPECT_TRUE(placement.OnStatement(Id(0), leaving, kStart, kStart));
+  EXPECT_FALSE(is_used(placement));
+  placement.SetBackends(engines);
+  EXPECT_FALSE(is_used(placement));
+  engines[0].lifetime = "second";
+  placement.SetBackends(engines);
+  EXPECT_TRUE(is_used(placement));
+
+  placement.OnStatement(Id(0), leaving, kStart, kStart);
+  placement.SetDraining(Id(0), false);
+  EXPECT_FALSE(is_used(placement));
+  placement.SetDraining(Id(0), true);
+  placement.SetDraining(Id(0), false);
+  EXPECT_TRUE(is_used(placement));
+
+  placement.OnStatement(Id(0), leaving, kStart, kStart);
+  placement.SetBackends({});
+  placement.SetBackends(engines);
+  EXPECT_TRUE(is_used(placement));
+}
+
 // Guards against new requests to a server that is draining, that its agent reports as leaving, or
 // that is dead.
 TEST(PlacementTest, I11LeavingServerGetsNoRequests) {
--- a/tests/routing/server_backpressure_test.cc
+++ b/tests/routing/server_backpressure_test.cc
@@ -142,5 +142,17 @@
   EXPECT_TRUE(server.Admits(kAlone, now));
 }
 
+// Guards against requests to a server that stops, after a response that does not say so.
+TEST(ServerBackpressureTest, LeavingServerAdmitsNothing) {
+  common::Random random(1);
+  ServerBackpressure server;
+  ServerStatement leaving;
+  leaving.leaving = true;
+  EXPECT_TRUE(server.OnStatement(leaving, kStart, kAlone, kStart, random));
+  EXPECT_FALSE(server.OnStatement({}, kStart + seconds(1), kAlone, kStart + seconds(2), random));
+  EXPECT_FALSE(server.Admits(kAlone, kStart + seconds(600)));
+  EXPECT_FALSE(server.AdmitsAt(kAlone, kStart).has_value());
+}
+
 }  // namespace
 }  // namespace briarwood::routing
