Leave a backend server alone for the time that it asks for with a 503

The entry counted the rejection as a full server and tried again after 50 ms. A caller that gets such a 503 is told the entry's own delay, since the server's is for this entry.

--- a/include/briarwood/routing/server_backpressure.h
+++ b/include/briarwood/routing/server_backpressure.h
@@ -57,6 +57,8 @@
 
   std::uint64_t server_hash_ = 0;
   bool leaving_ = false;
+  /// End of the time for which the server wants no requests of this entry.
+  common::Time back_off_until_;
   std::optional<double> limit_;
   common::Time limit_stated_at_;
   /// No request is sent before this time.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -779,8 +779,9 @@
     return;
   }
   http::RemoveConnectionFields(head.headers);
-  if (head.headers.Find("Retry-After") == nullptr && head.status == kUnavailable) {
-    head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(kRetryAfterDelay));
+  if (head.status == kUnavailable) {
+    // The server's own value is for this entry and does not apply to the service.
+    head.headers.Set("Retry-After", owner_.options_.codec.format_retry_after(kRetryAfterDelay));
   }
   const std::uint16_t status = head.status;
   request_->Respond(head, body);
--- a/src/routing/server_backpressure.cc
+++ b/src/routing/server_backpressure.cc
@@ -30,6 +30,10 @@
                                      common::Random& random) {
   bool changed = ApplyLimit(statement, sent_at, position, now, random);
   if (statement.leaving) changed = !std::exchange(leaving_, true) || changed;
+  if (statement.back_off && now + *statement.back_off > back_off_until_) {
+    back_off_until_ = now + *statement.back_off;
+    changed = true;
+  }
   return changed;
 }
 
@@ -87,8 +91,9 @@
 std::optional<common::Time> ServerBackpressure::AdmitsAt(const FleetPosition& position,
                                                          common::Time now) const {
   if (leaving_) return std::nullopt;
-  if (!limit_) return now;
-  const common::Time at = std::max(now, next_permit_at_);
+  const common::Time earliest = std::max(now, back_off_until_);
+  if (!limit_) return earliest;
+  const common::Time at = std::max(earliest, next_permit_at_);
   if (KeepsPermits(position)) return at;
   const common::Duration interval = Interval(position);
   const common::Time window = WindowStart(position, at);
--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -154,5 +154,22 @@
   EXPECT_EQ(served_, calls_);
 }
 
+// Guards against requests to a server that has rejected one and asked to be left alone for a time,
+// and against a server that is never used again.
+TEST_F(ServerStatementTest, ServerGetsNoRequestsForTheTimeThatItAskedFor) {
+  StatingBackend busy(
+      [] { return std::string("Briarwood-Not-Executed: 1\r\nRetry-After: 1.5\r\n"); },
+      "503 Service Unavailable");
+  StatingBackend other([] { return std::string(); });
+  List("a-1", busy.address());
+  List("a-2", other.address());
+  StartEntries();
+  SendFor(seconds(4));
+  // Each entry tries the server about every 1.5 s, and may have sent a few requests at first.
+  EXPECT_GE(busy.arrivals(), 2U * kEntries);
+  EXPECT_LE(busy.ArrivalsAfterTelling(milliseconds(100)).size(), 3U * kEntries);
+  EXPECT_EQ(served_, calls_);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
--- a/tests/routing/server_backpressure_test.cc
+++ b/tests/routing/server_backpressure_test.cc
@@ -154,5 +154,20 @@
   EXPECT_FALSE(server.AdmitsAt(kAlone, kStart).has_value());
 }
 
+// Guards against requests to a server that asked to be left alone, and against a shorter time that
+// replaces a longer one.
+TEST(ServerBackpressureTest, AdmitsNothingUntilABackOffHasPassed) {
+  common::Random random(1);
+  ServerBackpressure server;
+  ServerStatement rejection;
+  rejection.back_off = seconds(3);
+  EXPECT_TRUE(server.OnStatement(rejection, kStart, kAlone, kStart, random));
+  rejection.back_off = milliseconds(100);
+  EXPECT_FALSE(server.OnStatement(rejection, kStart, kAlone, kStart + milliseconds(10), random));
+  EXPECT_FALSE(server.Admits(kAlone, kStart + milliseconds(2990)));
+  EXPECT_EQ(server.AdmitsAt(kAlone, kStart), kStart + seconds(3));
+  EXPECT_TRUE(server.Admits(kAlone, kStart + seconds(3)));
+}
+
 }  // namespace
 }  // namespace briarwood::routing
