Reject early, with the expected wait, when all servers of a service are limited

With all servers of a service limited, or left alone for a time, requests waited a third of their time in the queue and were then rejected with a delay of 300 ms, whatever the limit. A new request whose expected wait ends after its time in the queue is rejected at once; the wait counts the queued requests of its tier and of higher ones, so the lowest tiers are rejected first, and Retry-After tells it.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -176,6 +176,14 @@
   /// of date.
   void OnFull(const common::BackendServerId& id, bool alone, common::Time now);
 
+  /// \returns the earliest time at which a server for `capability` admits a request, as far as its
+  ///   statements are concerned, or nothing if there is no server or all are leaving.
+  [[nodiscard]] std::optional<common::Time> NextAdmission(const Capability& capability,
+                                                          common::Time now);
+  /// \returns the requests per second that this entry may send to the servers for `capability`, or
+  ///   nothing if one of them has no limit or if there is none.
+  [[nodiscard]] std::optional<double> AdmittedRate(const Capability& capability);
+
   [[nodiscard]] std::uint32_t InFlight(const common::BackendServerId& id) const;
   [[nodiscard]] bool IsSlow(const common::BackendServerId& id, common::Time now);
   /// Number of servers that this entry uses for `capability`.
@@ -253,7 +261,9 @@
   static void UpdateSmoothedOthers(Server& server, common::Time now);
   [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
   [[nodiscard]] std::size_t GroupOf(const BackendDescription& description);
-  /// \returns true if neither the server itself, its agent nor the list keeps requests from it.
+  /// \returns true if neither its agent nor the list keeps requests from the server.
+  [[nodiscard]] static bool IsInService(const Server& server);
+  /// \returns true if in addition the statements of the server allow a request now.
   [[nodiscard]] bool TakesRequests(const Server& server, common::Time now) const;
   [[nodiscard]] bool IsUsable(const Server& server, const PlacementRequest& request,
                               common::Time now) const;
--- a/include/briarwood/routing/scheduler.h
+++ b/include/briarwood/routing/scheduler.h
@@ -156,6 +156,8 @@
 
   [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
   [[nodiscard]] std::size_t queued(const common::ClassId& class_id) const;
+  /// \returns the number of queued requests of this tier and of higher ones.
+  [[nodiscard]] std::size_t QueuedUpTo(const common::Tier& tier) const;
   [[nodiscard]] std::size_t running() const noexcept { return running_.size(); }
 
   /// \returns the served and reserved tokens of a customer in a class, divided by its weight.
--- a/include/briarwood/routing/server_backpressure.h
+++ b/include/briarwood/routing/server_backpressure.h
@@ -44,6 +44,7 @@
 
   /// \returns the requests per second that this entry may send, or nothing without a limit.
   [[nodiscard]] std::optional<double> Rate(const FleetPosition& position) const;
+  [[nodiscard]] bool leaving() const noexcept { return leaving_; }
 
  private:
   /// \returns the time between two requests of this entry.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -26,8 +26,7 @@
 /// requests of the entry. A faulty server may send a body without end, and an entry may have 88 MB.
 constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{16} * 1024 * 1024;
-/// Values of Retry-After for rejected callers.
-constexpr milliseconds kRetryAfterDelay{300};
+/// Value of Retry-After for callers that are rejected before the first configuration.
 constexpr milliseconds kRetryAfterDelayWithoutConfiguration{500};
 /// An entry receives its configuration within a second or two of its start. Requests that are held
 /// until then are served; most rejected callers retry only once, and too early.
@@ -287,6 +286,11 @@
   queued.deadline = std::min(
       deadline_, arrived + std::max<common::Duration>(milliseconds(route_->target_ms()), share));
   queued_at_ = common::BootClock::now();
+  // A caller that would not be served in time learns at once when to come back.
+  if (*queued_at_ + owner_.ExpectedWait(service_, tier_, *queued_at_) > queued.deadline) {
+    Reject(kUnavailable, "servers_limited", RetryDelay());
+    return;
+  }
   in_scheduler_ = true;
   owner_.Enqueue(service_, policy, std::move(queued), *this);
 }
@@ -299,7 +303,7 @@
   if (response_started_) {
     Fail(kUnavailable, NameOf(reason));
   } else if (may_have_run_on_.empty()) {
-    Reject(kUnavailable, NameOf(reason), kRetryAfterDelay);
+    Reject(kUnavailable, NameOf(reason), RetryDelay());
   } else {
     Fail(kBadGateway, NameOf(reason));
   }
@@ -744,7 +748,7 @@
   if (sent || response_started_ || !may_have_run_on_.empty()) {
     Fail(kBadGateway, NameOf(end));
   } else {
-    Reject(kUnavailable, "backend_unreachable", kRetryAfterDelay);
+    Reject(kUnavailable, "backend_unreachable", RetryDelay());
   }
 }
 
@@ -775,13 +779,13 @@
   }
   if (other || head.status == kMisdirected) {
     // The listed address belongs to another backend server now.
-    Reject(kUnavailable, "backend_replaced", kRetryAfterDelay);
+    Reject(kUnavailable, "backend_replaced", RetryDelay());
     return;
   }
   http::RemoveConnectionFields(head.headers);
   if (head.status == kUnavailable) {
     // The server's own value is for this entry and does not apply to the service.
-    head.headers.Set("Retry-After", owner_.options_.codec.format_retry_after(kRetryAfterDelay));
+    head.headers.Set("Retry-After", owner_.options_.codec.format_retry_after(RetryDelay()));
   }
   const std::uint16_t status = head.status;
   request_->Respond(head, body);
@@ -872,6 +876,10 @@
   Fail(kGatewayTimeout, "deadline");
 }
 
+milliseconds Exchange::RetryDelay() const {
+  return owner_.RetryDelay(service_, tier_, common::BootClock::now());
+}
+
 void Exchange::Reject(std::uint16_t status, std::string_view reason,
                       std::optional<milliseconds> retry_after) {
   http::ResponseHead head{.status = status, .reason = {}, .headers = {}};
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kMinConnections = 4;
 /// Requests held until the first configuration is active; with bodies of 20 KB they take 10 MB.
 constexpr std::size_t kMaxHeldRequests = 512;
+/// Bounds of Retry-After for callers that were rejected for want of a server.
+constexpr std::chrono::milliseconds kMinRetryDelay{300};
+constexpr std::chrono::milliseconds kMaxRetryDelay{10'000};
 /// Time for which the highest number of entries counts for limits. An entry is dead after 10 s.
 constexpr std::chrono::seconds kEntryCountPeriod{10};
 /// The prompt limit is logged again once it has risen or fallen by this factor.
@@ -215,6 +218,24 @@
   exchange->Start();
 }
 
+common::Duration Forwarder::ExpectedWait(const std::string& service, const common::Tier& tier,
+                                         common::Time now) {
+  const routing::Capability capability{.service = service};
+  const auto next = placement_.NextAdmission(capability, now);
+  if (!next) return common::Duration(0);
+  const std::optional<double> rate = placement_.AdmittedRate(capability);
+  if (!rate) return *next - now;
+  const auto ahead = static_cast<double>(StateOf(service).scheduler.QueuedUpTo(tier));
+  return *next - now + common::FromSeconds(ahead / *rate);
+}
+
+std::chrono::milliseconds Forwarder::RetryDelay(const std::string& service,
+                                                const common::Tier& tier, common::Time now) {
+  const common::Duration wait = ExpectedWait(service, tier, now);
+  return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(wait), kMinRetryDelay,
+                    kMaxRetryDelay);
+}
+
 void Forwarder::Enqueue(const std::string& service, const routing::ClassPolicy& policy,
                         routing::QueuedRequest request, Exchange& exchange) {
   ServiceState& state = StateOf(service);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -187,6 +187,8 @@
   [[nodiscard]] bool IsDeliverable(const http::ResponseHead& head,
                                    const ResponseMetadata& facts) const;
 
+  /// \returns the delay after which a rejected caller may find a server.
+  [[nodiscard]] std::chrono::milliseconds RetryDelay() const;
   void Deliver();
   /// Responds with a status that the entry chose, without a response of a backend server.
   void Reject(std::uint16_t status, std::string_view reason,
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -100,6 +100,13 @@
   /// \returns the open requests, which may end while the caller iterates over them.
   [[nodiscard]] std::vector<std::shared_ptr<Exchange>> OpenExchanges() const;
   ServiceState& StateOf(const std::string& service);
+  /// \returns the time for which a new request of this tier would wait because all servers of the
+  ///   service limit their requests or want none; 0 if one of them does not.
+  [[nodiscard]] common::Duration ExpectedWait(const std::string& service, const common::Tier& tier,
+                                              common::Time now);
+  /// \returns the delay after which a rejected caller of this tier may find a server.
+  [[nodiscard]] std::chrono::milliseconds RetryDelay(const std::string& service,
+                                                     const common::Tier& tier, common::Time now);
   /// Queues a request; the exchange is called back when it is placed or dropped.
   void Enqueue(const std::string& service, const routing::ClassPolicy& policy,
                routing::QueuedRequest request, Exchange& exchange);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -267,9 +267,12 @@
   }
 }
 
+bool Placement::IsInService(const Server& server) {
+  return !server.draining && !server.leaving && server.alive && server.healthy;
+}
+
 bool Placement::TakesRequests(const Server& server, common::Time now) const {
-  return !server.draining && !server.leaving && server.alive && server.healthy &&
-         server.backpressure.Admits(position_, now);
+  return IsInService(server) && server.backpressure.Admits(position_, now);
 }
 
 bool Placement::IsUsable(const Server& server, const PlacementRequest& request,
@@ -465,6 +468,29 @@
   server->breaker.OnInconclusive();
 }
 
+std::optional<common::Time> Placement::NextAdmission(const Capability& capability,
+                                                     common::Time now) {
+  std::optional<common::Time> next;
+  for (const std::uint32_t member : PoolOf(capability).members) {
+    if (!IsInService(servers_[member])) continue;
+    const auto at = servers_[member].backpressure.AdmitsAt(position_, now);
+    if (at && (!next || *at < *next)) next = at;
+  }
+  return next;
+}
+
+std::optional<double> Placement::AdmittedRate(const Capability& capability) {
+  std::optional<double> total;
+  for (const std::uint32_t member : PoolOf(capability).members) {
+    const Server& server = servers_[member];
+    if (!IsInService(server) || server.backpressure.leaving()) continue;
+    const std::optional<double> rate = server.backpressure.Rate(position_);
+    if (!rate) return std::nullopt;
+    total = total.value_or(0) + *rate;
+  }
+  return total;
+}
+
 std::uint32_t Placement::InFlight(const common::BackendServerId& id) const {
   const auto found = index_.find(id);
   return found == index_.end() ? 0 : servers_[found->second].own_in_flight;
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -507,6 +507,14 @@
   return state.queued + state.late.size();
 }
 
+std::size_t Scheduler::QueuedUpTo(const common::Tier& tier) const {
+  std::size_t count = 0;
+  for (const ClassState& state : classes_) {
+    if (!(state.policy.tier > tier)) count += state.queued + state.late.size();
+  }
+  return count;
+}
+
 double Scheduler::VirtualTokens(const common::ClassId& class_id,
                                 const common::CustomerId& customer) const {
   const auto found = class_index_.find(class_id);
--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -171,5 +171,45 @@
   EXPECT_EQ(served_, calls_);
 }
 
+// Guards against callers that wait for a server that all entries may hardly use and are rejected
+// only at the end, and against a lower tier that takes the permits of a higher one.
+TEST_F(ServerStatementTest, RejectsEarlyAndLowTiersFirstIfAllServersAreLimited) {
+  FakeBackend limited([](const auto& connection, const auto& request) {
+    std::string head = StreamHead(request);
+    head.insert(head.find("\r\n") + 2, "Server-Limit: 2\r\n");
+    connection.Send(head + Chunk(Event(1)) + "0\r\n\r\n");
+  });
+  List("m-1", limited.address());
+  control_.SetEntryCount(1);
+  StartReadyEntry();
+  ASSERT_THAT(Call("POST /draft/x", "Briarwood-Deadline-Ms: 3000\r\n", "{}"),
+              StartsWith("HTTP/1.1 200"));
+  std::atomic<int> rejected_early = 0;
+  std::atomic<int> drafts_served = 0;
+  constexpr int kCallersOfEachTier = 12;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallersOfEachTier; ++i) {
+    callers.emplace_back([&] {
+      const auto start = steady_clock::now();
+      const std::string response = Call("POST /ask/x", "Briarwood-Deadline-Ms: 3000\r\n", "{}");
+      const bool early = steady_clock::now() - start < milliseconds(200);
+      const std::string delay = HeaderOf(response, "Retry-After");
+      if (early && response.starts_with("HTTP/1.1 503") && std::stod(delay) >= 0.8) {
+        ++rejected_early;
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  for (int i = 0; i < 2; ++i) {
+    callers.emplace_back([&] {
+      const std::string response = Call("POST /draft/x", "Briarwood-Deadline-Ms: 3000\r\n", "{}");
+      if (response.starts_with("HTTP/1.1 200")) ++drafts_served;
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  EXPECT_EQ(drafts_served, 2);
+  EXPECT_GE(rejected_early, kCallersOfEachTier / 2);
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
