--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -16,6 +16,7 @@
 #include "briarwood/routing/peer_comparison.h"
 #include "briarwood/routing/request.h"
 #include "briarwood/routing/running_set.h"
+#include "briarwood/routing/server_backpressure.h"
 
 namespace briarwood::routing {
 
@@ -32,6 +33,8 @@
   /// False for an engine whose role is prefill or decode: it executes only that phase of a request.
   bool takes_requests = true;
   std::uint32_t max_concurrency = 1;
+  /// Identifies the lifetime of a server that starts again with the same id; empty if unknown.
+  std::string lifetime;
 };
 
 /// Load of a backend server, counted by its agent at `taken_at` on this entry's clock.
@@ -127,12 +130,20 @@
  public:
   explicit Placement(PlacementOptions options);
 
-  /// Replaces the list of backend servers. Counts and samples of the remaining servers are kept.
+  /// Replaces the list of backend servers. Counts and samples of the remaining servers are kept;
+  /// what a server stated in an earlier lifetime is not.
   void SetBackends(const std::vector<BackendDescription>& backends);
-  /// A draining server receives no new requests.
+  /// A draining server receives no new requests. One that no longer drains has started again.
   void SetDraining(const common::BackendServerId& id, bool draining);
   /// A server whose agent is unreachable receives no new requests.
   void SetAlive(const common::BackendServerId& id, bool alive);
+  /// Sets the place of this entry among those that share the limits that servers state.
+  void SetFleetPosition(const FleetPosition& position) { position_ = position; }
+  /// Applies what a server states about itself in the response to a request that was sent at
+  /// `sent_at`.
+  /// \returns true if this changes when requests may be sent to the server.
+  bool OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
+                   common::Time sent_at, common::Time now);
   /// Applies a load sample. A sample older than the last one is ignored.
   void Report(const LoadSample& sample, common::Time now);
   void ObserveTokenGap(const common::BackendServerId& id, common::Duration gap, common::Time now);
@@ -152,6 +163,9 @@
   /// prefill.
   void OnWorkDone(const common::BackendServerId& id, double work);
   void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone, double work = 1);
+  /// Must follow OnEnded if the request did not reach the server, so that it does not count towards
+  /// a limit of the server.
+  void OnNotSent(const common::BackendServerId& id);
   /// Report the outcome of an attempt to the circuit breaker of the server.
   void OnSuccess(const common::BackendServerId& id);
   void OnFailure(const common::BackendServerId& id, common::Time now);
@@ -162,6 +176,14 @@
   /// of date.
   void OnFull(const common::BackendServerId& id, bool alone, common::Time now);
 
+  /// \returns the earliest time at which a server for `capability` admits a request, as far as its
+  ///   statements are concerned, or nothing if there is no server or all are leaving.
+  [[nodiscard]] std::optional<common::Time> NextAdmission(const Capability& capability,
+                                                          common::Time now);
+  /// \returns the requests per second that this entry may send to the servers for `capability`, or
+  ///   nothing if one of them has no limit or if there is none.
+  [[nodiscard]] std::optional<double> AdmittedRate(const Capability& capability);
+
   [[nodiscard]] std::uint32_t InFlight(const common::BackendServerId& id) const;
   [[nodiscard]] bool IsSlow(const common::BackendServerId& id, common::Time now);
   /// Number of servers that this entry uses for `capability`.
@@ -204,6 +226,7 @@
     /// Time of the last update of `others_smoothed`.
     common::Time smoothed_at;
     CircuitBreaker breaker;
+    ServerBackpressure backpressure;
   };
 
   /// Number of servers considered for each prefix, in order of preference.
@@ -238,6 +261,10 @@
   static void UpdateSmoothedOthers(Server& server, common::Time now);
   [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
   [[nodiscard]] std::size_t GroupOf(const BackendDescription& description);
+  /// \returns true if neither its agent nor the list keeps requests from the server.
+  [[nodiscard]] static bool IsInService(const Server& server);
+  /// \returns true if in addition the statements of the server allow a request now.
+  [[nodiscard]] bool TakesRequests(const Server& server, common::Time now) const;
   [[nodiscard]] bool IsUsable(const Server& server, const PlacementRequest& request,
                               common::Time now) const;
   /// True if the breaker of every otherwise usable server blocks requests and there is at least one
@@ -269,6 +296,7 @@
   /// Set during a pick from a pool whose breakers are all open.
   bool ignoring_breakers_ = false;
   std::vector<Group> groups_;
+  FleetPosition position_;
 };
 
 }  // namespace briarwood::routing
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -26,8 +26,7 @@
 /// requests of the entry. A faulty server may send a body without end, and an entry may have 88 MB.
 constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{16} * 1024 * 1024;
-/// Values of Retry-After for rejected callers.
-constexpr milliseconds kRetryAfterDelay{300};
+/// Value of Retry-After for callers that are rejected before the first configuration.
 constexpr milliseconds kRetryAfterDelayWithoutConfiguration{500};
 /// An entry receives its configuration within a second or two of its start. Requests that are held
 /// until then are served; most rejected callers retry only once, and too early.
@@ -287,6 +286,11 @@
   queued.deadline = std::min(
       deadline_, arrived + std::max<common::Duration>(milliseconds(route_->target_ms()), share));
   queued_at_ = common::BootClock::now();
+  // A caller that would not be served in time learns at once when to come back.
+  if (*queued_at_ + owner_.ExpectedWait(service_, tier_, *queued_at_) > queued.deadline) {
+    Reject(kUnavailable, "servers_limited", RetryDelay());
+    return;
+  }
   in_scheduler_ = true;
   owner_.Enqueue(service_, policy, std::move(queued), *this);
 }
@@ -299,7 +303,7 @@
   if (response_started_) {
     Fail(kUnavailable, NameOf(reason));
   } else if (may_have_run_on_.empty()) {
-    Reject(kUnavailable, NameOf(reason), kRetryAfterDelay);
+    Reject(kUnavailable, NameOf(reason), RetryDelay());
   } else {
     Fail(kBadGateway, NameOf(reason));
   }
@@ -312,6 +316,7 @@
   if (!CheckPromptParts()) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
                               dispatch.picked.request.work);
+    owner_.placement_.OnNotSent(dispatch.choice.id);
     owner_.placement_.OnNoVerdict(dispatch.choice.id);
     return;
   }
@@ -329,6 +334,7 @@
   auto connection = owner_.pool_.Acquire(backend_server, now, sent_to_.contains(backend_server));
   if (connection == nullptr) {
     owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work);
+    owner_.placement_.OnNotSent(backend_server);
     owner_.placement_.OnFull(backend_server, /*alone=*/false, now);
     return false;
   }
@@ -477,12 +483,29 @@
   owner_.metrics_.CountEvent("foreign_response");
 }
 
+void Exchange::RecordStatement(const ResponseMetadata& facts, const Attempt& attempt) {
+  const routing::ServerStatement& statement = facts.statement;
+  const bool changed = owner_.placement_.OnStatement(attempt.backend_server, statement,
+                                                     attempt.started_at, common::BootClock::now());
+  if (!changed) return;
+  // Without a limit, the server has ended the one that it stated before.
+  LogLine line("server_statement");
+  line.Add("backend", attempt.backend_server.value())
+      .Add("request", facts_.id)
+      .Add("leaving", statement.leaving);
+  if (statement.requests_per_second) line.Add("limit", *statement.requests_per_second);
+  if (statement.back_off) line.Add("back_off_ms", Millis(*statement.back_off));
+  owner_.log_.Info(line.text());
+  owner_.metrics_.CountEvent("server_statement");
+}
+
 bool Exchange::OnHead(const http::ResponseHead& head) {
   ResponseMetadata facts = owner_.options_.codec.read_response(head);
   if (!BelongsToRequest(facts, *attempt_)) {
     LogForeignResponse(facts, *attempt_);
     return false;
   }
+  RecordStatement(facts, *attempt_);
   if (IsDeliverable(head, facts)) attempt_->began_at = common::BootClock::now();
   attempt_->head = head;
   attempt_->has_head = true;
@@ -714,6 +737,7 @@
   LogFailedAttempt(*attempt_, end);
   const bool may_retry = RecordCrash(*attempt_, end);
   attempt_->connection->Close();
+  if (!sent) owner_.placement_.OnNotSent(attempt_->backend_server);
   if (silent_attempt_) {
     if (!sent) owner_.retry_budget_.Refund(service_);
     ReturnToSilentAttempt(AttemptResult::kFailure);
@@ -724,7 +748,7 @@
   if (sent || response_started_ || !may_have_run_on_.empty()) {
     Fail(kBadGateway, NameOf(end));
   } else {
-    Reject(kUnavailable, "backend_unreachable", kRetryAfterDelay);
+    Reject(kUnavailable, "backend_unreachable", RetryDelay());
   }
 }
 
@@ -755,12 +779,13 @@
   }
   if (other || head.status == kMisdirected) {
     // The listed address belongs to another backend server now.
-    Reject(kUnavailable, "backend_replaced", kRetryAfterDelay);
+    Reject(kUnavailable, "backend_replaced", RetryDelay());
     return;
   }
   http::RemoveConnectionFields(head.headers);
-  if (head.headers.Find("Retry-After") == nullptr && head.status == kUnavailable) {
-    head.headers.Add("Retry-After", owner_.options_.codec.format_retry_after(kRetryAfterDelay));
+  if (head.status == kUnavailable) {
+    // The server's own value is for this entry and does not apply to the service.
+    head.headers.Set("Retry-After", owner_.options_.codec.format_retry_after(RetryDelay()));
   }
   const std::uint16_t status = head.status;
   request_->Respond(head, body);
@@ -851,6 +876,10 @@
   Fail(kGatewayTimeout, "deadline");
 }
 
+milliseconds Exchange::RetryDelay() const {
+  return owner_.RetryDelay(service_, tier_, common::BootClock::now());
+}
+
 void Exchange::Reject(std::uint16_t status, std::string_view reason,
                       std::optional<milliseconds> retry_after) {
   http::ResponseHead head{.status = status, .reason = {}, .headers = {}};
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -116,6 +116,8 @@
   [[nodiscard]] bool BelongsToRequest(const ResponseMetadata& facts, const Attempt& attempt) const;
   /// Logs a response to another request, which is skipped.
   void LogForeignResponse(const ResponseMetadata& facts, const Attempt& attempt) const;
+  /// Records what the server of an attempt states about itself.
+  void RecordStatement(const ResponseMetadata& facts, const Attempt& attempt);
   [[nodiscard]] bool IsCurrent(std::uint64_t attempt) const;
   [[nodiscard]] bool IsSilentAttempt(std::uint64_t attempt) const;
   /// Callbacks of the connection of attempt `attempt`.
@@ -185,6 +187,8 @@
   [[nodiscard]] bool IsDeliverable(const http::ResponseHead& head,
                                    const ResponseMetadata& facts) const;
 
+  /// \returns the delay after which a rejected caller may find a server.
+  [[nodiscard]] std::chrono::milliseconds RetryDelay() const;
   void Deliver();
   /// Responds with a status that the entry chose, without a response of a backend server.
   void Reject(std::uint16_t status, std::string_view reason,
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -54,7 +54,11 @@
   void SetBackends(const schema::BackendList& list, common::Time read_at);
   /// Records that the list was read again and has not changed.
   void ConfirmBackends(common::Time read_at);
-  void SetEntryCount(std::uint32_t entries);
+  /// \param index  position of this entry among the entries, if it is known
+  void SetEntries(std::uint32_t entries, std::optional<std::uint32_t> index, common::Time now);
+  /// Sets the time that the entries agree on.
+  /// \param at  time of this entry's clock to which it belongs
+  void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
   /// Replaces the fleet's evidence against prompt parts.
   void SetPromptParts(const std::vector<schema::PromptPart>& rows);
@@ -96,6 +100,13 @@
   /// \returns the open requests, which may end while the caller iterates over them.
   [[nodiscard]] std::vector<std::shared_ptr<Exchange>> OpenExchanges() const;
   ServiceState& StateOf(const std::string& service);
+  /// \returns the time for which a new request of this tier would wait because all servers of the
+  ///   service limit their requests or want none; 0 if one of them does not.
+  [[nodiscard]] common::Duration ExpectedWait(const std::string& service, const common::Tier& tier,
+                                              common::Time now);
+  /// \returns the delay after which a rejected caller of this tier may find a server.
+  [[nodiscard]] std::chrono::milliseconds RetryDelay(const std::string& service,
+                                                     const common::Tier& tier, common::Time now);
   /// Queues a request; the exchange is called back when it is placed or dropped.
   void Enqueue(const std::string& service, const routing::ClassPolicy& policy,
                routing::QueuedRequest request, Exchange& exchange);
@@ -120,6 +131,9 @@
   std::optional<common::Time> list_read_at_;
   std::map<common::BackendServerId, std::string> service_of_;
   std::uint32_t entries_ = 0;
+  /// Place among the highest recent number of entries, among which limits of servers are split.
+  routing::FleetPosition position_;
+  common::Time peak_entries_at_;
   routing::Placement placement_;
   routing::ServiceRetryBudget retry_budget_;
   routing::PromptPartGuard prompt_parts_;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -122,6 +122,7 @@
     return false;
   }
   if (!IsDeliverable(head, facts)) {
+    RecordStatement(facts, *silent_attempt_);
     if (!facts.not_executed) may_have_run_on_.insert(silent_attempt_->backend_server);
     const bool full = facts.not_executed && !facts.is_misdirected;
     ReleaseSilentAttempt(full                   ? AttemptResult::kFull
@@ -154,7 +155,11 @@
 }
 
 void Exchange::OnSilentAttemptEnd(http::CallEnd end) {
-  if (end != http::CallEnd::kNotSent) NoteRun(*silent_attempt_);
+  if (end == http::CallEnd::kNotSent) {
+    owner_.placement_.OnNotSent(silent_attempt_->backend_server);
+  } else {
+    NoteRun(*silent_attempt_);
+  }
   if (end == http::CallEnd::kComplete && silent_attempt_->streaming &&
       silent_attempt_->events.incomplete_event().empty()) {
     NoteRun(*attempt_);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -66,8 +66,11 @@
     if (known == nullptr || server.description.max_concurrency != description.max_concurrency) {
       server.capacity = std::max(description.max_concurrency, 1U);
     }
+    const bool is_new_lifetime =
+        known == nullptr || server.description.lifetime != description.lifetime;
     server.description = description;
     server.hash = common::Hash64(description.id.value());
+    if (is_new_lifetime) server.backpressure = ServerBackpressure(server.hash);
     server.group = GroupOf(description);
   }
   servers_ = std::move(servers);
@@ -93,7 +96,17 @@
 }
 
 void Placement::SetDraining(const common::BackendServerId& id, bool draining) {
-  if (Server* server = Find(id)) server->draining = draining;
+  Server* server = Find(id);
+  if (server == nullptr) return;
+  if (server->draining && !draining) server->backpressure = ServerBackpressure(server->hash);
+  server->draining = draining;
+}
+
+bool Placement::OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
+                            common::Time sent_at, common::Time now) {
+  Server* server = Find(id);
+  return server != nullptr &&
+         server->backpressure.OnStatement(statement, sent_at, position_, now, random_);
 }
 
 void Placement::SetAlive(const common::BackendServerId& id, bool alive) {
@@ -254,9 +267,17 @@
   }
 }
 
+bool Placement::IsInService(const Server& server) {
+  return !server.draining && !server.leaving && server.alive && server.healthy;
+}
+
+bool Placement::TakesRequests(const Server& server, common::Time now) const {
+  return IsInService(server) && server.backpressure.Admits(position_, now);
+}
+
 bool Placement::IsUsable(const Server& server, const PlacementRequest& request,
                          common::Time now) const {
-  if (server.draining || server.leaving || !server.alive || !server.healthy) return false;
+  if (!TakesRequests(server, now)) return false;
   if (options_.features.breakers && !ignoring_breakers_ && !server.breaker.Allows(now)) {
     return false;
   }
@@ -356,7 +377,7 @@
   bool any_open = false;
   for (const std::uint32_t member : pool.members) {
     const Server& server = servers_[member];
-    if (server.draining || server.leaving || !server.alive || !server.healthy) continue;
+    if (!TakesRequests(server, now)) continue;
     if (server.breaker.Allows(now)) return false;
     any_open = true;
   }
@@ -405,6 +426,7 @@
   ++server->own_by_tier[TierSlot(tier)];
   if (alone) ++server->own_alone;
   server->breaker.OnAttempt(now);
+  server->backpressure.OnSending(position_, now);
 }
 
 void Placement::OnWorkDone(const common::BackendServerId& id, double work) {
@@ -422,6 +444,10 @@
   if (alone && server->own_alone > 0) --server->own_alone;
 }
 
+void Placement::OnNotSent(const common::BackendServerId& id) {
+  if (Server* server = Find(id)) server->backpressure.OnNotSent();
+}
+
 void Placement::OnSuccess(const common::BackendServerId& id) {
   if (Server* server = Find(id)) server->breaker.OnSuccess();
 }
@@ -442,6 +468,29 @@
   server->breaker.OnInconclusive();
 }
 
+std::optional<common::Time> Placement::NextAdmission(const Capability& capability,
+                                                     common::Time now) {
+  std::optional<common::Time> next;
+  for (const std::uint32_t member : PoolOf(capability).members) {
+    if (!IsInService(servers_[member])) continue;
+    const auto at = servers_[member].backpressure.AdmitsAt(position_, now);
+    if (at && (!next || *at < *next)) next = at;
+  }
+  return next;
+}
+
+std::optional<double> Placement::AdmittedRate(const Capability& capability) {
+  std::optional<double> total;
+  for (const std::uint32_t member : PoolOf(capability).members) {
+    const Server& server = servers_[member];
+    if (!IsInService(server) || server.backpressure.leaving()) continue;
+    const std::optional<double> rate = server.backpressure.Rate(position_);
+    if (!rate) return std::nullopt;
+    total = total.value_or(0) + *rate;
+  }
+  return total;
+}
+
 std::uint32_t Placement::InFlight(const common::BackendServerId& id) const {
   const auto found = index_.find(id);
   return found == index_.end() ? 0 : servers_[found->second].own_in_flight;
