--- a/tests/platform/client_test.cc
+++ b/tests/platform/client_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 #include "support/raw_server.h"
 
 namespace briarwood::platform {
@@ -34,6 +37,61 @@
   EXPECT_FALSE(ReadPage("{\"instances\":", none).ok());
 }
 
+// Guards against one odd entry of another writer that makes the whole list unreadable: no entry
+// would follow the list any more, and servers that leave would keep getting requests.
+TEST(PlatformClientTest, OddEntryHidesNoOther) {
+  const auto with = [](const std::string& field) {
+    return R"({"service":"s","addr":"10.0.0.8:80","zone":"z","slots":1,"state":"ready","id":"odd",)" +
+           field + "}";
+  };
+  const std::vector<std::string> odd = {
+      with(R"("x":1e999)"),
+      with(R"("x":-1e400)"),
+      with(R"("coldLeftMs":1e300)"),
+      with(R"("x":)" + std::string(100'000, '[') + std::string(100'000, ']')),
+      with(R"("x":)" + std::string(1200, '[') + std::string(1200, ']')),
+      with(R"("x":"\ud800")"),
+      with(R"("x":NaN)"),
+      with("\"x\":\"\xff\xfe\""),
+      with(R"("x":)" + std::string(R"(")") + std::string(2'000'000, 'x') + R"(")"),
+      with(R"("x":"]},{\"")"),
+      with(R"("slots":99999999999999999999)"),
+      R"({"service":"s","addr":"10.0.0.8:99999","zone":"z","slots":1,"state":"ready","id":"odd"})",
+      "bareword",
+      "NaN",
+      "-",
+      "{}",
+      "[]",
+      "\"\x01\"",
+      std::string(50'000, '[') + std::string(50'000, ']')};
+  for (const std::string& entry : odd) {
+    std::string second = kValidEntry;
+    second.replace(second.find("i-1"), 3, "i-2");
+    schema::BackendList list;
+    const auto next = ReadPage(std::string(R"({"instances":[)") + kValidEntry + "," + entry + "," +
+                                   second + R"(],"a\"}]b":[1,{}],"next":"p-50"})",
+                               list);
+    const std::string shown = entry.substr(0, 120);
+    ASSERT_TRUE(next.ok()) << shown << ": " << next.error();
+    EXPECT_EQ(next.value(), "p-50") << shown;
+    std::vector<std::string> ids;
+    for (const schema::ListedBackend& backend : list.backends()) {
+      if (backend.id() != "odd") ids.push_back(backend.id());
+    }
+    EXPECT_EQ(ids, (std::vector<std::string>{"i-1", "i-2"})) << shown;
+  }
+}
+
+// Guards against a time until a server is warm that no integer can hold.
+TEST(PlatformClientTest, BoundsTheWarmUpTime) {
+  schema::BackendList list;
+  std::string entry = kValidEntry;
+  entry.replace(entry.find(R"("coldLeftMs":0)"), 14, R"("coldLeftMs":1e300)");
+  ASSERT_TRUE(ReadPage(R"({"instances":[)" + entry + R"(],"next":null})", list).ok());
+  ASSERT_EQ(list.backends_size(), 1);
+  EXPECT_LT(list.backends(0).warm_up_ms(), std::uint64_t{1} << 50U);
+}
+
 // Guards against a list that is cut off after its first page.
 TEST(PlatformClientTest, ReadsAllPages) {
   RawServer server([](const auto& connection, const auto& request) {
