--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -60,6 +60,13 @@
   http::ResponseHead bad;
   bad.headers.Add("Briarwood-Load-Report", "3,x,8");
   EXPECT_FALSE(MakeCodec().read_response(bad).load.has_value());
+  // Guards against a load that is cut to 32 bits and looks idle.
+  http::ResponseHead large;
+  large.headers.Add("Briarwood-Load-Report", "4294967296,4294967295,8");
+  const auto load = MakeCodec().read_response(large).load;
+  ASSERT_TRUE(load.has_value());
+  EXPECT_GT(load->running, 1000U);
+  EXPECT_GT(load->running + load->waiting, load->running);
 }
 
 // Guards against what a server states about itself being missed or misread, and against values that
