Send a request without an id over a new connection

A faulty server of another operator wrote an earlier rejection once more on a kept connection (REFUSED). A copy with the id of its request, or without an id, is skipped if the caller named its request, also in pieces and after a rejection on the connection. For a caller that names none, the copy was taken for the answer: 503, not run, for a request that ran. Such a request gets a connection of its own, as a further attempt at the same server does already. RepeatedRejectionTest: CallerWithoutId failed before and passes; the four variants with ids passed before.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -331,7 +331,10 @@
 
 bool Exchange::StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
                             double work, common::Time now) {
-  auto connection = owner_.pool_.Acquire(backend_server, now, sent_to_.contains(backend_server));
+  // A response cannot be told from an extra one to an earlier request if this request has no id, or
+  // if it has been sent to the server before.
+  const bool needs_new_connection = facts_.id.empty() || sent_to_.contains(backend_server);
+  auto connection = owner_.pool_.Acquire(backend_server, now, needs_new_connection);
   if (connection == nullptr) {
     owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work);
     owner_.placement_.OnNotSent(backend_server);
--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -263,6 +263,84 @@
   EXPECT_EQ(runs, 1);
 }
 
+/// Rejection that a faulty server writes once more, before its answer to the next request on the
+/// connection.
+struct RepeatedRejection {
+  const char* name;
+  /// The copy names the request that it was written for.
+  bool has_id;
+  bool in_pieces;
+  /// The caller names its requests.
+  bool caller_has_id;
+};
+
+class RepeatedRejectionTest : public FaultyBackendTest,
+                              public ::testing::WithParamInterface<RepeatedRejection> {};
+
+// Guards against an earlier rejection that is taken for the answer to the next request on a kept
+// connection: the caller would be told that a request which runs has not run.
+TEST_P(RepeatedRejectionTest, IsNotTakenForTheAnswerToTheNextRequest) {
+  const RepeatedRejection& variant = GetParam();
+  std::mutex mutex;
+  std::map<const void*, std::string> rejected;
+  std::atomic<int> runs = 0;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    const bool reject = request.head.find("X-Reject: 1") != std::string::npos;
+    std::string copy = "HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\n";
+    if (variant.has_id) copy += "Briarwood-Attempt-Id: " + IdOf(request) + "\r\n";
+    copy += "Content-Length: 0\r\n\r\n";
+    {
+      const std::lock_guard lock(mutex);
+      if (reject) {
+        rejected[&connection] = copy;
+      } else {
+        copy = rejected.contains(&connection) ? rejected[&connection] : std::string();
+      }
+    }
+    if (reject) {
+      connection.Send("HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " +
+                      IdOf(request) + "\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    if (variant.in_pieces) {
+      for (std::size_t at = 0; at < copy.size(); at += 20) {
+        connection.Send(copy.substr(at, 20));
+        std::this_thread::sleep_for(milliseconds(2));
+      }
+    } else {
+      connection.Send(copy);
+    }
+    ++runs;
+    connection.Send(Answer(request, "booked"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  constexpr int kRounds = 4;
+  for (int i = 0; i < kRounds; ++i) {
+    for (const bool reject : {true, false}) {
+      std::string text = Request("POST /book/x", reject ? "X-Reject: 1\r\n" : "", "slot");
+      const std::string id = "Briarwood-Attempt-Id: id-1\r\n";
+      const std::string own_id = variant.caller_has_id
+                                     ? "Briarwood-Attempt-Id: " + std::to_string(i) +
+                                           (reject ? "-rejected" : "-booked") + "\r\n"
+                                     : std::string();
+      text.replace(text.find(id), id.size(), own_id);
+      const std::string response = RawCall(node_->port(), text).Finish();
+      EXPECT_THAT(response, StartsWith(reject ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+    }
+  }
+  EXPECT_EQ(runs, kRounds);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Variants, RepeatedRejectionTest,
+    ::testing::Values(RepeatedRejection{"WithItsId", true, false, true},
+                      RepeatedRejection{"WithItsIdInPieces", true, true, true},
+                      RepeatedRejection{"WithoutId", false, false, true},
+                      RepeatedRejection{"WithoutIdInPieces", false, true, true},
+                      RepeatedRejection{"CallerWithoutId", false, false, false}),
+    [](const auto& variant) { return std::string(variant.param.name); });
+
 /// Backend servers whose answers have neither a length nor chunks and end with their connection.
 class AnswerWithoutLengthTest : public FaultyBackendTest {
  protected:
