Let only the next event go on with a stream that has begun

Errors with a status, in chunks, without length or as an event stream, and successes without a signature were dropped already. A response goes on with a stream only if it is of the same media type, and begins with the next number; what comes before is dropped, or fails the attempt if it has data. ErrorAfterStartTest: 2 of 8 variants failed before (ErrorEventWithoutId, TextInsteadOfEvents); all pass, also with a silent server that is kept.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cctype>
 #include <utility>
 
 #include "briarwood/common/digest.h"
@@ -116,6 +117,15 @@
   return "unknown";
 }
 
+std::string MediaTypeOf(const http::ResponseHead& head) {
+  const std::string* type = head.headers.Find("Content-Type");
+  if (type == nullptr) return {};
+  std::string name = type->substr(0, type->find_first_of("; "));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return name;
+}
+
 Exchange::Exchange(Forwarder& owner, std::uint64_t number,
                    std::shared_ptr<http::IncomingRequest> request)
     : owner_(owner),
@@ -523,7 +533,7 @@
   }
   attempt_->facts = std::move(facts);
   attempt_->streaming = route_->kind() == schema::CALL_KIND_STREAM && IsSuccess(head.status) &&
-                        attempt_->facts.has_signature;
+                        IsDeliverable(head, attempt_->facts);
   if (!attempt_->facts.not_executed && !attempt_->streaming) RecordProgress();
   return true;
 }
@@ -619,18 +629,26 @@
   } else if (silent_attempt_) {
     // The silent server may still go on, with the head of its own response.
     return;
+  } else if (response_started_ && last_event_ && attempt_->event_count == 0) {
+    // A server that goes on with a numbered stream begins with the next number.
+    if (event.has_data) OnFailedAttempt(http::CallEnd::kInvalid);
+    return;
   }
   if (event.id) last_event_ = event.id;
-  if (!std::exchange(response_started_, true)) {
-    http::ResponseHead head = attempt_->head;
-    http::RemoveConnectionFields(head.headers);
-    request_->StartStream(head);
-  }
+  if (!response_started_) StartStream();
   request_->Write(event.text);
   ++delivered_events_;
   owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
 }
 
+void Exchange::StartStream() {
+  response_started_ = true;
+  stream_media_type_ = MediaTypeOf(attempt_->head);
+  http::ResponseHead head = attempt_->head;
+  http::RemoveConnectionFields(head.headers);
+  request_->StartStream(head);
+}
+
 bool Exchange::IsProgress(const StreamEvent& event) const {
   if (event.id) return !last_event_ || *event.id > *last_event_;
   // Without an id, an event of a numbered stream is a comment or a keep-alive.
@@ -665,11 +683,7 @@
       OnFailedAttempt(http::CallEnd::kCutShort);
       return;
     }
-    if (!std::exchange(response_started_, true)) {
-      http::ResponseHead head = attempt_->head;
-      http::RemoveConnectionFields(head.headers);
-      request_->StartStream(head);
-    }
+    if (!response_started_) StartStream();
     // A response without length and events may also be that of a server that crashed.
     if (attempt_->event_count > 0 && attempt_->event_count < kSoundEvents) RecordSoundStart();
     request_->EndStream();
@@ -678,7 +692,7 @@
     End("answered", status, "");
     return;
   }
-  if (IsSuccess(status) && !attempt_->facts.has_signature) {
+  if (IsSuccess(status) && !IsDeliverable(attempt_->head, attempt_->facts)) {
     OnFailedAttempt(http::CallEnd::kInvalid);
     return;
   }
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -127,6 +127,8 @@
   bool OnHead(const http::ResponseHead& head);
   void OnData(std::string_view data);
   void OnEvent(const StreamEvent& event);
+  /// Starts the response to the caller with the head of the current attempt.
+  void StartStream();
   void OnEnd(http::CallEnd end);
   void OnCompleteResponse();
   void OnFailedAttempt(http::CallEnd end);
@@ -235,6 +237,8 @@
   /// The last attempt arrived and was rejected, so a further one counts against the retry budget.
   bool last_attempt_rejected_ = false;
   bool response_started_ = false;
+  /// Media type of a stream that has started.
+  std::string stream_media_type_;
   bool disconnected_ = false;
   bool usage_counted_ = false;
   /// Ids of the parts of the prompt that other requests may share.
--- a/src/forwarding/impl/exchange_support.h
+++ b/src/forwarding/impl/exchange_support.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "briarwood/common/time.h"
@@ -48,4 +49,8 @@
 
 [[nodiscard]] std::string_view NameOf(http::CallEnd end);
 
+/// \returns the media type of a response without its parameters, in lower case; empty if it names
+///   none.
+[[nodiscard]] std::string MediaTypeOf(const http::ResponseHead& head);
+
 }  // namespace briarwood::forwarding::impl
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -111,7 +111,10 @@
 
 bool Exchange::IsDeliverable(const http::ResponseHead& head, const ResponseMetadata& facts) const {
   if (facts.not_executed || facts.is_misdirected) return false;
-  if (IsSuccess(head.status)) return facts.has_signature;
+  if (IsSuccess(head.status)) {
+    // A response that goes on with a stream is of the same type.
+    return facts.has_signature && (!response_started_ || MediaTypeOf(head) == stream_media_type_);
+  }
   return !response_started_ && !IsServerError(head.status);
 }
 
--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -341,6 +341,129 @@
                       RepeatedRejection{"CallerWithoutId", false, false, false}),
     [](const auto& variant) { return std::string(variant.param.name); });
 
+/// Answer of the server that is to go on with a stream which has broken off.
+struct ErrorAfterStart {
+  const char* name;
+  std::function<void(const RawServer::Connection&, const RawServer::Request&)> answer;
+};
+
+class ErrorAfterStartTest : public FaultyBackendTest,
+                            public ::testing::WithParamInterface<ErrorAfterStart> {};
+
+std::string HeadOf(const std::string& status, const RawServer::Request& request,
+                   const std::string& headers) {
+  return "HTTP/1.1 " + status + "\r\nBriarwood-Attempt-Id: " + IdOf(request) + "\r\n" + headers +
+         "\r\n";
+}
+
+// Guards against an error that reaches a caller in the middle of its stream, and against a stream
+// that ends with it as if it were complete.
+TEST_P(ErrorAfterStartTest, ReachesNoCallerAndCompletesNoStream) {
+  FakeBackend broken([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)));
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.Close();
+  });
+  FakeBackend other(GetParam().answer);
+  List("m-1", broken.address());
+  StartReadyEntry();
+  std::thread lister([this, &other] {
+    std::this_thread::sleep_for(milliseconds(20));
+    List("m-2", other.address());
+  });
+  const std::string response = Call("POST /draft/x", "Briarwood-Deadline-Ms: 1500\r\n", "{}");
+  lister.join();
+  EXPECT_THAT(response, HasSubstr(Event(1)));
+  EXPECT_THAT(response, Not(HasSubstr("oops")));
+  EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos);
+  EXPECT_FALSE(response.ends_with("0\r\n\r\n")) << response;
+}
+
+// Guards against the same errors while the first server is silent and is kept: it goes on, and its
+// stream ends as complete.
+TEST_P(ErrorAfterStartTest, DoesNotEndAStreamWhoseServerIsKept) {
+  FakeBackend silent([](const auto& connection, const auto& request) {
+    connection.Send(StreamHead(request) + Chunk(Event(1)));
+    std::this_thread::sleep_for(milliseconds(1600));
+    connection.Send(Chunk(Event(2)) + "0\r\n\r\n");
+  });
+  FakeBackend other(GetParam().answer);
+  List("m-1", silent.address());
+  StartReadyEntry();
+  std::thread lister([this, &other] {
+    std::this_thread::sleep_for(milliseconds(20));
+    List("m-2", other.address());
+  });
+  const std::string response = Call("POST /draft/x", "Briarwood-Deadline-Ms: 4000\r\n", "{}");
+  lister.join();
+  EXPECT_EQ(Body(response), Event(1) + Event(2));
+  EXPECT_THAT(response, Not(HasSubstr("<cut>")));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Variants, ErrorAfterStartTest,
+    ::testing::Values(ErrorAfterStart{"SuccessWithoutSignature",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(
+                                            HeadOf("200 OK", request, "Content-Length: 4\r\n") +
+                                            "oops");
+                                      }},
+                      ErrorAfterStart{"StreamWithoutSignature",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("200 OK", request,
+                                                               "Content-Type: text/event-stream\r\n"
+                                                               "Transfer-Encoding: chunked\r\n") +
+                                                        Chunk("data: oops\n\n") + "0\r\n\r\n");
+                                      }},
+                      ErrorAfterStart{"ErrorAsEventStream",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("500 Internal Server Error", request,
+                                                               "Briarwood-Signature: s\r\n"
+                                                               "Content-Type: text/event-stream\r\n"
+                                                               "Transfer-Encoding: chunked\r\n") +
+                                                        Chunk("id: 2\ndata: oops\n\n") +
+                                                        "0\r\n\r\n");
+                                      }},
+                      ErrorAfterStart{"ErrorInChunks",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("400 Bad Request", request,
+                                                               "Briarwood-Signature: s\r\n"
+                                                               "Transfer-Encoding: chunked\r\n") +
+                                                        Chunk("oo") + Chunk("ps") + "0\r\n\r\n");
+                                      }},
+                      ErrorAfterStart{"ErrorWithoutLength",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("404 Not Found", request,
+                                                               "Briarwood-Signature: s\r\n") +
+                                                        "oops");
+                                        connection.Close();
+                                      }},
+                      ErrorAfterStart{"RejectionWithBody",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("503 Full", request,
+                                                               "Briarwood-Not-Executed: 1\r\n"
+                                                               "Content-Length: 4\r\n") +
+                                                        "oops");
+                                      }},
+                      ErrorAfterStart{"ErrorEventWithoutId",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("200 OK", request,
+                                                               "Briarwood-Signature: s\r\n"
+                                                               "Content-Type: text/event-stream\r\n"
+                                                               "Transfer-Encoding: chunked\r\n") +
+                                                        Chunk("data: oops\n\n"));
+                                        connection.Close();
+                                      }},
+                      ErrorAfterStart{"TextInsteadOfEvents",
+                                      [](const auto& connection, const auto& request) {
+                                        connection.Send(HeadOf("200 OK", request,
+                                                               "Briarwood-Signature: s\r\n"
+                                                               "Content-Type: text/plain\r\n"
+                                                               "Content-Length: 6\r\n") +
+                                                        "oops\n\n");
+                                      }}),
+    [](const auto& variant) { return std::string(variant.param.name); });
+
 /// Backend servers whose answers have neither a length nor chunks and end with their connection.
 class AnswerWithoutLengthTest : public FaultyBackendTest {
  protected:
