Let the soak's backend servers limit requests, leave, and ask to be left alone, and check that all entries obey

The checker counts as the platform does: a limit over all entries that were told, a leaving server and a back-off for each entry; entries that were killed, paused or started since, and links that were disturbed, are excused. The statements come from a generator of their own, so a seed gives the same other faults as before.

--- a/soak/fake_backend.cc
+++ b/soak/fake_backend.cc
@@ -94,6 +94,7 @@
     head.headers.Add(platform::kSignature, "signed-" + backend_->id_);
     head.headers.Add(platform::kLoadReport, std::to_string(backend_->running_requests_) + ",0," +
                                                 std::to_string(backend_->options_.slots));
+    backend_->AddStatement(attempt_id_, head);
     return head;
   }
 
@@ -167,6 +168,7 @@
   Crash();
   id_ = id;
   running_requests_ = 0;
+  statement_ = {};
   lifetime_ = std::make_shared<bool>(true);
   auto server = http::IncomingServer::Start(
       loop_, {.listen = options_.listen},
@@ -212,7 +214,12 @@
   if (HasCrashingPart(request->head())) {
     options_.on_crashing_arrival(HeaderOrEmpty(request->head(), platform::kAttemptId));
   }
-  if (running_requests_ >= options_.slots) {
+  if (options_.on_arrival) {
+    options_.on_arrival(HeaderOrEmpty(request->head(), platform::kAttemptId));
+  }
+  constexpr std::uint64_t kRequestsPerBackOff = 3;
+  const bool backs_off = statement_.back_off && ++arrivals_ % kRequestsPerBackOff == 0;
+  if (running_requests_ >= options_.slots || backs_off) {
     Reject(*request, kUnavailable);
     return;
   }
@@ -240,7 +247,24 @@
   head.headers.Add(platform::kNotExecuted, "1");
   head.headers.Add(platform::kLoadReport,
                    std::to_string(running_requests_) + ",0," + std::to_string(options_.slots));
+  if (status == kUnavailable) {
+    AddStatement(HeaderOrEmpty(request.head(), platform::kAttemptId), head);
+  }
   request.Respond(head, {});
 }
 
+void FakeBackend::AddStatement(const std::string& request_id, http::ResponseHead& head) {
+  routing::ServerStatement stated = statement_;
+  if (head.status != kUnavailable) stated.back_off.reset();
+  if (stated.leaving) head.headers.Add(platform::kServerLeaving, "1");
+  if (stated.requests_per_second) {
+    head.headers.Add(platform::kServerLimit, std::to_string(*stated.requests_per_second));
+  }
+  if (stated.back_off) {
+    head.headers.Add(platform::kRetryAfter, std::to_string(common::ToSeconds(*stated.back_off)));
+  }
+  const bool states = stated.leaving || stated.requests_per_second || stated.back_off;
+  if (states && options_.on_statement) options_.on_statement(request_id, stated);
+}
+
 }  // namespace briarwood::soak
--- a/soak/fake_backend.h
+++ b/soak/fake_backend.h
@@ -9,6 +9,7 @@
 
 #include "briarwood/http/event_loop.h"
 #include "briarwood/http/incoming.h"
+#include "briarwood/routing/server_statement.h"
 #include "soak/invariant_checkers.h"
 
 namespace briarwood::soak {
@@ -21,6 +22,11 @@
   std::uint32_t slots = 8;
   /// Called when the execution of a request starts.
   std::function<void(const RunCall& run)> on_run;
+  /// Called when a request that is meant for this server arrives, whether or not it is executed.
+  std::function<void(const std::string& request_id)> on_arrival;
+  /// Called when the server states something about itself in a response.
+  std::function<void(const std::string& request_id, const routing::ServerStatement& statement)>
+      on_statement;
   /// Called when a request with the crashing part arrives.
   std::function<void(const std::string& request_id)> on_crashing_arrival;
   /// Called when the server begins to write a response to such a request; it has to crash.
@@ -46,6 +52,12 @@
   void Crash(bool inside_event = false);
   /// While quiet, each stream falls silent once and then goes on.
   void SetQuiet(bool quiet) noexcept { quiet_ = quiet; }
+  /// Sets what the server states about itself in all responses; `back_off` only in rejections, of
+  /// which it then sends one for every third request. Ends with the lifetime.
+  void SetStatement(const routing::ServerStatement& statement) { statement_ = statement; }
+  [[nodiscard]] bool states_something() const noexcept {
+    return statement_.leaving || statement_.requests_per_second || statement_.back_off;
+  }
   /// Streams whose prompt contains this part, other than as the last one, crash the server; empty
   /// for none.
   void SetCrashingPart(std::string part) { crashing_part_ = std::move(part); }
@@ -59,6 +71,8 @@
   void Handle(const std::shared_ptr<http::IncomingRequest>& request);
   [[nodiscard]] bool HasCrashingPart(const http::RequestHead& head) const;
   void Reject(http::IncomingRequest& request, std::uint16_t status);
+  /// Adds what the server states about itself to the head of a response.
+  void AddStatement(const std::string& request_id, http::ResponseHead& head);
 
   http::EventLoop& loop_;
   BackendOptions options_;
@@ -69,6 +83,8 @@
   http::Timer crash_timer_;
   std::uint32_t running_requests_ = 0;
   bool quiet_ = false;
+  routing::ServerStatement statement_;
+  std::uint64_t arrivals_ = 0;
   std::string crashing_part_;
   std::vector<std::weak_ptr<Run>> runs_;
   /// Shared with the requests of the current lifetime; set to false when it ends.
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -12,11 +12,12 @@
 using std::chrono::seconds;
 
 constexpr std::string_view kFaultNames[kFaultKinds] = {
-    "kill_entry",    "pause_entry",      "stop_entry",    "kill_member",     "pause_member",
-    "stop_member",   "kill_all_members", "wipe_member",   "tear_log",        "reload",
-    "delay_link",    "reset_link",       "cut_to_server", "cut_from_server", "silence_link",
-    "crash_backend", "replace_backend",  "platform_down", "quiet_backend",   "stop_entries_in_turn",
-    "crash_on_part"};
+    "kill_entry",      "pause_entry",     "stop_entry",       "kill_member",
+    "pause_member",    "stop_member",     "kill_all_members", "wipe_member",
+    "tear_log",        "reload",          "delay_link",       "reset_link",
+    "cut_to_server",   "cut_from_server", "silence_link",     "crash_backend",
+    "replace_backend", "platform_down",   "quiet_backend",    "stop_entries_in_turn",
+    "crash_on_part",   "limit_backend",   "leaving_backend",  "back_off_backend"};
 
 constexpr milliseconds kMinFaultDuration{200};
 constexpr milliseconds kMaxFaultDuration{4000};
@@ -40,6 +41,9 @@
     case FaultKind::kQuietBackend:
     case FaultKind::kStopEntriesInTurn:
     case FaultKind::kCrashOnPart:
+    case FaultKind::kLimitBackend:
+    case FaultKind::kLeavingBackend:
+    case FaultKind::kBackOffBackend:
       return false;
     default:
       return true;
@@ -47,7 +51,7 @@
 }
 
 /// Kinds that are not chosen at random, at the end of the enumeration.
-constexpr std::size_t kPlannedKinds = 1;
+constexpr std::size_t kPlannedKinds = 4;
 /// Kinds that may accompany kCrashOnPart.
 constexpr FaultKind kKindsBesideCrashOnPart[] = {FaultKind::kCrashBackend, FaultKind::kReload,
                                                  FaultKind::kReplaceBackend,
@@ -64,6 +68,31 @@
   return static_cast<FaultKind>(random.Below(kFaultKinds - kPlannedKinds));
 }
 
+/// Mean time between two statements of backend servers.
+constexpr seconds kStatementInterval{3};
+constexpr FaultKind kStatementKinds[] = {FaultKind::kLimitBackend, FaultKind::kLeavingBackend,
+                                         FaultKind::kBackOffBackend};
+/// A limit is checked from 3 s after it was first stated.
+constexpr seconds kMinStatementDuration{5};
+
+/// Adds statements of backend servers, from a generator of their own, so that a seed gives the same
+/// other faults as without them.
+void AddStatements(const FaultPlanOptions& options, std::vector<PlannedFault>& plan) {
+  constexpr std::uint64_t kStatementSeed = 0x57A7E;
+  common::Random random(options.seed ^ kStatementSeed);
+  const std::uint64_t interval_ms = 2 * milliseconds(kStatementInterval).count();
+  for (common::Duration at = milliseconds(random.Below(interval_ms)); at < options.duration;
+       at += milliseconds(random.Below(interval_ms))) {
+    plan.push_back({.at = at,
+                    .kind = kStatementKinds[random.Below(std::size(kStatementKinds))],
+                    .target = random.Next() % 1024,
+                    .duration = kMinStatementDuration + milliseconds(random.Below(4000))});
+  }
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const PlannedFault& left, const PlannedFault& right) { return left.at < right.at; });
+}
+
 bool IsInQuietPeriod(const PlannedFault& fault, const PlannedFault& wipe) {
   return fault.at + fault.duration + kQuietPeriodBeforeWipe > wipe.at &&
          fault.at < wipe.at + kQuietPeriodAfterWipe;
@@ -121,6 +150,7 @@
     }
     return AffectsMembers(fault.kind) && std::any_of(wipes.begin(), wipes.end(), in_quiet_period);
   });
+  if (!options.crash_on_part) AddStatements(options, plan);
   return plan;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -37,8 +37,14 @@
   kStopEntriesInTurn,
   /// Requests with one part of a prompt crash each server; see FaultPlanOptions::crash_on_part.
   kCrashOnPart,
+  /// The server limits the requests of all entries together.
+  kLimitBackend,
+  /// The server says that it leaves, later the list does, and then it ends.
+  kLeavingBackend,
+  /// The server rejects some requests and wants none for a time.
+  kBackOffBackend,
 };
-inline constexpr std::size_t kFaultKinds = 21;
+inline constexpr std::size_t kFaultKinds = 24;
 
 [[nodiscard]] std::string_view NameOf(FaultKind kind);
 
@@ -63,6 +69,8 @@
 
 /// Generates random faults, which may overlap and occur in series.
 ///
+/// Statements of backend servers come beside the other faults, at times of their own.
+///
 /// At most one data folder is lost at a time: no other fault affects the members shortly before and
 /// after a wipe, so that the group can recover before the next loss.
 /// \returns the faults ordered by start time; the same seed gives the same plan.
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -24,6 +24,7 @@
 #include "soak/fleet.h"
 #include "soak/invariant_checkers.h"
 #include "soak/operators.h"
+#include "soak/statement_checker.h"
 
 namespace briarwood::soak {
 namespace {
@@ -42,6 +43,11 @@
 /// Minimum share of calls that are served in the calm phase.
 constexpr double kMinServedShareWhenCalm = 0.99;
 constexpr milliseconds kLinkDelay{40};
+/// Limit that a backend server states, requests per second of all entries.
+constexpr double kStatedLimit = 2;
+constexpr milliseconds kStatedBackOff{1500};
+/// Time from a server's statement that it leaves until the list shows it.
+constexpr milliseconds kListedAfterStatement{2500};
 /// Times between the steps of FaultKind::kStopEntriesInTurn.
 constexpr milliseconds kStopInterval{1200};
 constexpr milliseconds kReloadToStop{100};
@@ -154,6 +160,16 @@
                     requests_.OnRun(run, now);
                     answers_.OnRun(run.id, run.backend_server, link, now);
                   },
+              .on_arrival =
+                  [this, i, link = Address(host + kProxyOffset)](const std::string& id) {
+                    statements_.OnArrival(backends_[i].server->id(), requests_.EntryOf(id), link,
+                                          common::BootClock::now());
+                  },
+              .on_statement =
+                  [this, i](const std::string& id, const routing::ServerStatement& statement) {
+                    statements_.OnStatement(backends_[i].server->id(), requests_.EntryOf(id),
+                                            statement, common::BootClock::now());
+                  },
               .on_crashing_arrival = [this](const std::string& id) { CountCrashingArrival(id); },
               .on_crashing_run =
                   [this, i] {
@@ -195,9 +211,6 @@
                                       !disturbances_.Affected(RestartOf(entry), from, now));
   }
 
-  /// Part of the DisturbanceLog for the starts and planned stops of a process.
-  static std::string RestartOf(const std::string& entry) { return "restart of " + entry; }
-
   void BeginCrashOnPart(const PlannedFault& fault, common::Time now) {
     const std::string part = "f" + std::to_string(fault.target);
     for (Backend& backend : backends_) backend.server->SetCrashingPart(part);
@@ -491,7 +504,7 @@
         CrashBackend(backend, now);
         break;
       case FaultKind::kReplaceBackend:
-        if (backend.draining || backend.start_at) break;
+        if (backend.draining || backend.start_at || backend.end_at) break;
         backend.draining = true;
         backend.end_at = now + kDrainPeriod;
         break;
@@ -507,6 +520,19 @@
       case FaultKind::kStopEntriesInTurn:
         StopEntriesInTurn(now);
         break;
+      case FaultKind::kLimitBackend:
+        if (MayState(backend)) LimitBackend(backend, fault, now);
+        break;
+      case FaultKind::kLeavingBackend:
+        if (MayState(backend)) LeaveBackend(backend, now);
+        break;
+      case FaultKind::kBackOffBackend:
+        if (!MayState(backend)) break;
+        BackOffBackend(backend);
+        RunAt(now + fault.duration, [&backend, id = backend.server->id()] {
+          if (backend.server->id() == id) backend.server->SetStatement({});
+        });
+        break;
       case FaultKind::kCrashOnPart:
         BeginCrashOnPart(fault, now);
         RunAt(now + fault.duration, [this] { EndCrashOnPart(); });
@@ -514,6 +540,37 @@
     }
   }
 
+  static bool MayState(const Backend& backend) {
+    return !backend.draining && !backend.start_at && !backend.end_at &&
+           !backend.server->states_something();
+  }
+
+  void LimitBackend(Backend& backend, const PlannedFault& fault, common::Time now) {
+    routing::ServerStatement statement;
+    statement.requests_per_second = kStatedLimit;
+    backend.server->SetStatement(statement);
+    RunAt(now + fault.duration, [this, &backend, id = backend.server->id()] {
+      statements_.OnLimitEnded(id);
+      if (backend.server->id() == id) backend.server->SetStatement({});
+    });
+  }
+
+  void LeaveBackend(Backend& backend, common::Time now) {
+    routing::ServerStatement statement;
+    statement.leaving = true;
+    backend.server->SetStatement(statement);
+    RunAt(now + kListedAfterStatement, [&backend, id = backend.server->id()] {
+      if (backend.server->id() == id) backend.draining = true;
+    });
+    backend.end_at = now + kListedAfterStatement + kDrainPeriod;
+  }
+
+  static void BackOffBackend(Backend& backend) {
+    routing::ServerStatement statement;
+    statement.back_off = kStatedBackOff;
+    backend.server->SetStatement(statement);
+  }
+
   void Pause(Daemon& daemon, const PlannedFault& fault, common::Time now) {
     daemon.Pause();
     EndAfter(fault, now, daemon.name(), [&daemon] { daemon.Resume(); });
@@ -606,7 +663,9 @@
             << "\nplanned stops of entries: " << answers_.stops()
             << ", answers cut: " << answers_.cut_before_stop() << " sent before SIGTERM, "
             << answers_.cut_after_stop() << " after it; calls on kept connections after SIGTERM "
-            << answers_.calls_on_kept_connections() << "\n";
+            << answers_.calls_on_kept_connections()
+            << "\nstatements of backend servers: " << statements_.statements()
+            << ", requests under a limit " << statements_.limited_arrivals() << "\n";
     if (options_.crash_on_part) {
       report_ << "crashing part: " << crashing_part_.crashes() << " crashes, "
               << crashing_part_.arrivals_after_bound() << " arrivals after the bound\n";
@@ -632,6 +691,7 @@
   UsageChecker usage_{log_};
   DisturbanceLog disturbances_;
   AnswerChecker answers_{log_, disturbances_, {}};
+  StatementChecker statements_{log_, disturbances_, {}};
   CrashingPartChecker crashing_part_{log_, {}};
   VersionSequence versions_;
   std::vector<Backend> backends_;
