Do not wait for the library when a streamed response ends

HttpClientServerTest.AbortedStreamIsNotComplete passed now and then and its process did not end: Abort waited for a task of the cpprest library on a thread of that library's pool, while the exit of the process joined the pool.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -166,12 +166,13 @@
   }
 
   void End() override {
-    if (ChangeState(State::kStreaming, State::kEnded)) buffer_.close(std::ios_base::out).wait();
+    if (ChangeState(State::kStreaming, State::kEnded)) Observe(buffer_.close(std::ios_base::out));
   }
 
   void Abort() override {
     if (!ChangeState(State::kStreaming, State::kEnded)) return;
-    buffer_.close(std::ios_base::out, std::make_exception_ptr(HttpError("stream aborted"))).wait();
+    Observe(
+        buffer_.close(std::ios_base::out, std::make_exception_ptr(HttpError("stream aborted"))));
   }
 
   void OnFinished(std::function<void(bool)> callback) override {
@@ -183,6 +184,18 @@
  private:
   enum class State { kWaiting, kStreaming, kEnded };
 
+  /// Lets a task of the library end by itself. At the exit of the process the threads that run its
+  /// tasks have stopped, so that waiting for one would never end.
+  static void Observe(const pplx::task<void>& task) {
+    task.then([](const pplx::task<void>& ended) {
+      try {
+        ended.get();
+      } catch (const std::exception&) {
+        // The connection is closed in any case.
+      }
+    });
+  }
+
   bool ChangeState(State from, State to) {
     const std::lock_guard lock(mutex_);
     if (state_ != from) return false;
