Let only the first entry of the list with an id count

A second entry with the id of a leaving server, as another writer may leave it, made the server take requests again: its state was set by every entry of the list in turn, and with the statements of servers it would also have forgotten what the server stated.

--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "briarwood/observability/log_line.h"
 #include "forwarding/impl/exchange.h"
@@ -138,11 +139,14 @@
 void Forwarder::ApplyBackends() {
   std::vector<routing::BackendDescription> descriptions;
   std::map<common::BackendServerId, std::string> present;
+  std::vector<std::pair<common::BackendServerId, bool>> leaving;
   for (const schema::ListedBackend& backend : backends_.backends()) {
     const std::optional<http::Endpoint> address = http::ParseEndpoint(backend.address());
     if (!address) continue;
     const common::BackendServerId id(backend.id());
+    // Of several entries with one id, the first counts.
     if (!present.emplace(id, backend.service()).second) continue;
+    leaving.emplace_back(id, backend.leaving());
     pool_.Set(id, *address, MaxConnections(backend.service()));
     descriptions.push_back(
         {.id = id,
@@ -152,9 +156,7 @@
          .lifetime = backend.address() + "/" + std::to_string(backend.started_unix_ms())});
   }
   placement_.SetBackends(descriptions);
-  for (const schema::ListedBackend& backend : backends_.backends()) {
-    placement_.SetDraining(common::BackendServerId(backend.id()), backend.leaving());
-  }
+  for (const auto& [id, is_leaving] : leaving) placement_.SetDraining(id, is_leaving);
   for (const auto& [id, service] : service_of_) {
     if (present.contains(id)) continue;
     // The list no longer contains the backend server; it may still be running.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -475,6 +475,7 @@
     if (!IsInService(servers_[member])) continue;
     const auto at = servers_[member].backpressure.AdmitsAt(position_, now);
     if (at && (!next || *at < *next)) next = at;
+    if (next && *next <= now) return next;
   }
   return next;
 }
--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -171,6 +171,22 @@
   EXPECT_EQ(served_, calls_);
 }
 
+// Guards against a second entry of the list with the id of a server that leaves: the server would
+// get requests again, and what it has stated would be forgotten.
+TEST_F(ServerStatementTest, SecondEntryOfTheListChangesNothing) {
+  StatingBackend leaving([] { return std::string(); });
+  StatingBackend other([] { return std::string(); });
+  List("a-1", leaving.address(), /*leaving=*/true);
+  List("a-2", other.address());
+  schema::ListedBackend second = list_.backends(0);
+  second.set_leaving(false);
+  *list_.add_backends() = second;
+  StartEntries();
+  SendFor(seconds(1));
+  EXPECT_EQ(leaving.arrivals(), 0U);
+  EXPECT_EQ(served_, calls_);
+}
+
 // Guards against callers that wait for a server that all entries may hardly use and are rejected
 // only at the end, and against a lower tier that takes the permits of a higher one.
 TEST_F(ServerStatementTest, RejectsEarlyAndLowTiersFirstIfAllServersAreLimited) {
