Queue a new stream for a few targets of its first event at most

A new stream waits for three targets at most; if the expected wait is longer, it is rejected at once with that wait.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -292,9 +292,12 @@
       static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
   const common::Time arrived = request_->arrived_at();
   queued.first_token_deadline = arrived + milliseconds(route_->target_ms());
-  const auto share = common::FromSeconds(common::ToSeconds(deadline_ - arrived) * kMaxQueueShare);
-  queued.deadline = std::min(
-      deadline_, arrived + std::max<common::Duration>(milliseconds(route_->target_ms()), share));
+  const milliseconds target(route_->target_ms());
+  auto share = common::FromSeconds(common::ToSeconds(deadline_ - arrived) * kMaxQueueShare);
+  if (route_->kind() == schema::CALL_KIND_STREAM) {
+    share = std::min<common::Duration>(share, kMaxQueueTargets * target);
+  }
+  queued.deadline = std::min(deadline_, arrived + std::max<common::Duration>(target, share));
   queued_at_ = common::BootClock::now();
   // A caller that would not be served in time learns at once when to come back.
   if (*queued_at_ + owner_.ExpectedWait(service_, tier_, *queued_at_) > queued.deadline) {
--- a/src/forwarding/impl/exchange_support.h
+++ b/src/forwarding/impl/exchange_support.h
@@ -18,6 +18,9 @@
 /// this share of the time from its arrival to its deadline; before a retry, for this share of the
 /// time that is left.
 inline constexpr double kMaxQueueShare = 0.35;
+/// A new stream is queued for at most this multiple of the target for its first event. Callers of
+/// long streams give up after a few targets, long before their time is over.
+inline constexpr int kMaxQueueTargets = 3;
 /// Attempts of one request, including those that were rejected without being run.
 inline constexpr std::uint32_t kMaxAttempts = 4;
 /// Interval between attempts after kMaxAttempts, and until the retry budget allows one, for a
--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -180,6 +180,8 @@
        "affinity":true,"itlTargetMs":200},
       {"name":"ask","host":"h.example","pathPrefix":"/ask/","type":"streaming","timeoutMs":5000,
        "sloMs":800,"priority":1,"service":"llm","attempts":1,"affinity":true,"itlTargetMs":200},
+      {"name":"long","host":"h.example","pathPrefix":"/long/","type":"streaming",
+       "timeoutMs":15000,"sloMs":800,"priority":1,"service":"llm","attempts":1,"itlTargetMs":200},
       {"name":"open","host":"h.example","pathPrefix":"/open/","type":"safe","timeoutMs":1500,
        "sloMs":500,"priority":2,"service":"app","attempts":1,"public":true}],
       "services":[{"name":"app","healthPath":"/healthz","maxConns":100},
--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -171,6 +171,26 @@
   EXPECT_EQ(served_, calls_);
 }
 
+// Guards against a caller of a long stream that waits in the queue until it gives up, instead of
+// learning early that no server has room.
+TEST_F(ServerStatementTest, RejectsAStreamThatCannotBeginWithinAFewTargets) {
+  FakeBackend full([](const auto& connection, const auto& request) {
+    connection.Send("HTTP/1.1 503 Full\r\nBriarwood-Not-Executed: 1\r\nBriarwood-Attempt-Id: " +
+                    HeaderOf(request.head, "Briarwood-Attempt-Id") +
+                    "\r\nRetry-After: 6\r\nContent-Length: 0\r\n\r\n");
+  });
+  List("m-1", full.address());
+  control_.SetEntryCount(1);
+  StartReadyEntry();
+  static_cast<void>(Call("POST /ask/x", "Briarwood-Deadline-Ms: 5000\r\n", "{}"));
+  // The target of the route is 0.8 s, and the server wants no requests for 6 s.
+  const auto start = steady_clock::now();
+  const std::string response = Call("POST /long/x", "Briarwood-Deadline-Ms: 15000\r\n", "{}");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+  EXPECT_GE(std::stod(HeaderOf(response, "Retry-After")), 1.0);
+  EXPECT_LT(steady_clock::now() - start, milliseconds(300));
+}
+
 // Guards against a second entry of the list with the id of a server that leaves: the server would
 // get requests again, and what it has stated would be forgotten.
 TEST_F(ServerStatementTest, SecondEntryOfTheListChangesNothing) {
