--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -300,7 +300,8 @@
   queued.deadline = std::min(deadline_, arrived + std::max<common::Duration>(target, share));
   queued_at_ = common::BootClock::now();
   // A caller that would not be served in time learns at once when to come back.
-  if (*queued_at_ + owner_.ExpectedWait(service_, tier_, *queued_at_) > queued.deadline) {
+  const common::Duration wait = owner_.ExpectedWait(service_, tier_, *queued_at_);
+  if (wait > common::Duration(0) && *queued_at_ + wait > queued.deadline) {
     Reject(kUnavailable, "servers_limited", RetryDelay());
     return;
   }
--- a/src/routing/forward_table.cc
+++ b/src/routing/forward_table.cc
@@ -47,8 +47,9 @@
 
 std::string ForwardTable::ChooseService(const schema::ForwardRoute& route, double draw) {
   double total = 0;
-  for (const schema::RouteTarget& target : route.targets())
+  for (const schema::RouteTarget& target : route.targets()) {
     total += static_cast<double>(target.weight());
+  }
   double left = draw * total;
   for (const schema::RouteTarget& target : route.targets()) {
     if (target.weight() == 0) continue;
--- a/src/storage/memory_files.cc
+++ b/src/storage/memory_files.cc
@@ -144,8 +144,9 @@
 std::vector<std::string> MemoryFiles::List(const std::string& folder) const {
   std::vector<std::string> names;
   for (const auto& [path, content] : disk_->files_) {
-    if (!content->is_folder && path.starts_with(folder + "/"))
+    if (!content->is_folder && path.starts_with(folder + "/")) {
       names.push_back(path.substr(folder.size() + 1));
+    }
   }
   return names;
 }
