--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -78,7 +78,8 @@
     control_.SetEntryCount(kEntries);
     Configure();
     for (int i = 0; i < kEntries; ++i) {
-      entries_.push_back(MakeEntry("entry/vm-" + std::to_string(i), 10 + i));
+      entries_.push_back(
+          MakeEntry("entry/vm-" + std::to_string(i), static_cast<std::uint64_t>(10 + i)));
       ASSERT_NE(entries_.back(), nullptr);
     }
     for (const auto& entry : entries_) {
@@ -133,7 +134,8 @@
   StartEntries();
   SendFor(seconds(6));
   const auto arrivals = limited.ArrivalsAfterTelling(milliseconds(500));
-  constexpr std::size_t kAllowedIn4Seconds = 1.5 * 4 * 2 + 5;
+  // One and a half times the limit, and five requests.
+  constexpr std::size_t kAllowedIn4Seconds = 3 * 2 * 4 / 2 + 5;
   EXPECT_LE(MaxInWindow(arrivals, seconds(4)), kAllowedIn4Seconds);
   // The limit is used, and the other server takes the rest.
   EXPECT_GE(arrivals.size(), 4U);
