--- a/tests/forwarding/server_statement_test.cc
+++ b/tests/forwarding/server_statement_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::steady_clock;
 using ::testing::StartsWith;
 
-constexpr int kEntries = 4;
+constexpr std::uint32_t kEntries = 4;
 
 /// Backend server that states something about itself, and counts the requests of each entry.
 class StatingBackend {
@@ -77,9 +77,8 @@
   void StartEntries() {
     control_.SetEntryCount(kEntries);
     Configure();
-    for (int i = 0; i < kEntries; ++i) {
-      entries_.push_back(
-          MakeEntry("entry/vm-" + std::to_string(i), static_cast<std::uint64_t>(10 + i)));
+    for (std::uint64_t i = 0; i < kEntries; ++i) {
+      entries_.push_back(MakeEntry("entry/vm-" + std::to_string(i), 10 + i));
       ASSERT_NE(entries_.back(), nullptr);
     }
     for (const auto& entry : entries_) {
--- a/tests/platform/client_test.cc
+++ b/tests/platform/client_test.cc
@@ -41,8 +41,9 @@
 // would follow the list any more, and servers that leave would keep getting requests.
 TEST(PlatformClientTest, OddEntryHidesNoOther) {
   const auto with = [](const std::string& field) {
-    return R"({"service":"s","addr":"10.0.0.8:80","zone":"z","slots":1,"state":"ready","id":"odd",)" +
-           field + "}";
+    std::string entry =
+        R"({"service":"s","addr":"10.0.0.8:80","zone":"z","slots":1,"state":"ready","id":"odd",)";
+    return entry.append(field).append("}");
   };
   const std::vector<std::string> odd = {
       with(R"("x":1e999)"),
@@ -68,9 +69,10 @@
     std::string second = kValidEntry;
     second.replace(second.find("i-1"), 3, "i-2");
     schema::BackendList list;
-    const auto next = ReadPage(std::string(R"({"instances":[)") + kValidEntry + "," + entry + "," +
-                                   second + R"(],"a\"}]b":[1,{}],"next":"p-50"})",
-                               list);
+    std::string page = R"({"instances":[)";
+    page.append(kValidEntry).append(",").append(entry).append(",").append(second);
+    page.append(R"(],"a\"}]b":[1,{}],"next":"p-50"})");
+    const auto next = ReadPage(page, list);
     const std::string shown = entry.substr(0, 120);
     ASSERT_TRUE(next.ok()) << shown << ": " << next.error();
     EXPECT_EQ(next.value(), "p-50") << shown;
--- a/tests/storage/snapshot_store_test.cc
+++ b/tests/storage/snapshot_store_test.cc
@@ -68,7 +68,7 @@
       disk_->KillAfter(operations);
       try {
         auto store = Open();
-        for (const std::uint64_t index : {10, 20, 30}) {
+        for (const std::uint64_t index : {10U, 20U, 30U}) {
           store.value().Save(MetadataOf(index, data), data);
         }
       } catch (const StorageError&) {
