--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -76,6 +76,11 @@
     return AddAgent(id, engine.url(), "kind: BACKEND_KIND_ENGINE model: \"planner\" " + capacity);
   }
 
+  /// Adds an engine at any address.
+  agent::AgentNode& AddEngineAt(const std::string& id, const std::string& url) {
+    return AddAgent(id, url, "kind: BACKEND_KIND_ENGINE model: \"planner\" max_concurrency: 8");
+  }
+
   agent::AgentNode& AddService(const std::string& id, const std::string& url) {
     return AddAgent(id, url, "kind: BACKEND_KIND_SERVICE service: \"bookings\" max_concurrency: 8");
   }
