Hold back every kind of request that crashes servers

What callers saw: a GET, a call that may run once or a stream with a prompt of one part crashed each server that ran it, was sent again and again, and ended the requests of others with each server.

Cause: evidence was kept by one property of requests, the parts of the prompt that others share. Requests without such parts had none, so nothing was recorded, held or logged. Ruled out: slow exchange of evidence (there was none), and retries alone (a POST that may run once was passed on each time).

Change: evidence is kept by all properties that a later request may share: each prompt part, and a fingerprint of customer, method, host, path with query and body. A restarted process with its old id is another server. An attempt that ends in silence counts once its server is known to have ended. A held property with all its crashes explained by another held one gets an early trial, also if that one has further crashes.

--- a/include/briarwood/briarwood.h
+++ b/include/briarwood/briarwood.h
@@ -85,6 +85,7 @@
 #include "briarwood/requests/run_codec.h"
 #include "briarwood/requests/stream_assembler.h"
 #include "briarwood/routing/circuit_breaker.h"
+#include "briarwood/routing/crash_properties.h"
 #include "briarwood/routing/customer_limits.h"
 #include "briarwood/routing/dispatch.h"
 #include "briarwood/routing/first_token_predictor.h"
--- a/include/briarwood/routing/prompt_part_guard.h
+++ b/include/briarwood/routing/prompt_part_guard.h
@@ -64,6 +64,17 @@
   /// \param servers  number of servers of the service
   CrashConclusion OnCrash(const std::vector<std::string>& parts, const std::string& server,
                           std::uint32_t servers, common::Time sent_at, common::Time now);
+  /// Records an attempt that ended while its server was silent. It counts as a crash once the
+  /// server is known to have ended, if the server has responded to another request after `sent_at`:
+  /// one that was silent before did not end under this request.
+  void OnSilence(const std::vector<std::string>& parts, const std::string& server,
+                 std::uint32_t servers, common::Time sent_at, common::Time now);
+  /// Records that a server has responded to a request.
+  void OnResponse(const std::string& server, common::Time now);
+  /// Records that a server has ended without having been announced as leaving.
+  /// \returns the parts that may have caused this, see CrashConclusion::candidates.
+  std::vector<std::pair<std::string, std::uint32_t>> OnServerEnded(const std::string& server,
+                                                                   common::Time now);
   /// Records that a server has begun a sound response.
   /// \returns the parts against which there was evidence.
   std::vector<std::string> OnSoundStart(const std::vector<std::string>& parts, common::Time now);
@@ -92,6 +103,15 @@
   };
   using Histories = std::unordered_map<std::string, History>;
 
+  /// Attempt that ended while its server was silent.
+  struct Silence {
+    std::vector<std::string> parts;
+    std::string server;
+    std::uint32_t servers = 0;
+    common::Time sent_at;
+    common::Time ended_at;
+  };
+
   struct Grant {
     std::set<std::string> parts;
     common::Time ends_at;
@@ -106,6 +126,7 @@
   [[nodiscard]] History& HistoryOf(const std::string& part, common::Time now);
   /// \param sent_at  a sound start does not count after a crash of an attempt that was sent earlier
   [[nodiscard]] static bool WasSound(const History& history, common::Time sent_at);
+  [[nodiscard]] bool HasRespondedAfter(const std::string& server, common::Time at) const;
   [[nodiscard]] std::chrono::milliseconds RetryAfter(const schema::PromptPart& evidence,
                                                      common::Time now) const;
 
@@ -124,6 +145,11 @@
   /// Not reported yet; times of the boot clock.
   std::vector<schema::PromptPartCrash> crashes_;
   std::set<std::string> sound_parts_;
+  std::vector<Silence> silences_;
+  /// Time of the last response, by server.
+  std::unordered_map<std::string, common::Time> responded_at_;
+  /// Servers that ended recently.
+  std::map<std::string, common::Time> ended_at_;
   std::vector<std::string> wanted_trial_;
   std::optional<Grant> grant_;
 };
--- a/include/briarwood/routing/prompt_part_table.h
+++ b/include/briarwood/routing/prompt_part_table.h
@@ -21,7 +21,7 @@
   std::uint64_t held_expiry_ms = 3'600'000;
   std::uint64_t first_trial_delay_ms = 30'000;
   std::uint64_t max_trial_delay_ms = 600'000;
-  std::size_t max_parts = 256;
+  std::size_t max_parts = 512;
 };
 
 enum class PromptPartTrial : std::uint8_t { kGranted, kNotDue };
@@ -42,8 +42,8 @@
                                           const schema::PromptPartCrash& crash);
 
   /// \returns true if a request with `parts` may try the held part. Before its first regular trial
-  /// that is once so for a request that lacks another held part with the same crashes, as it shows
-  /// which of the two causes them.
+  /// that is once so for a request that lacks another held part which was part of all its crashes,
+  /// as it shows which of the two causes them.
   [[nodiscard]] static bool IsTrialDue(const std::map<std::string, schema::PromptPart>& all,
                                        const schema::PromptPart& evidence,
                                        const std::vector<std::string>& parts, std::uint64_t now_ms);
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -60,16 +60,18 @@
 
 /// A server that crashes when it begins to write an answer may still send the first event.
 constexpr std::uint64_t kSoundEvents = 2;
-constexpr std::string_view kHeldReason = "prompt_part_held";
-/// Length of the ids of prompt parts in one log line; callers choose them.
-constexpr std::size_t kMaxLoggedPartBytes = 200;
+constexpr std::string_view kHeldReason = "crash_property_held";
+/// Length of the properties in one log line; callers choose the ids of prompt parts.
+constexpr std::size_t kMaxLoggedPropertyBytes = 240;
 
-/// \returns the ids of the parts that other requests may share, as far as a log line has room.
-std::string SharedParts(const std::vector<PromptPart>& parts) {
+/// \returns the properties, as far as a log line has room. The fingerprint comes first, as callers
+///   cannot choose its length.
+std::string JoinProperties(const std::vector<std::string>& properties) {
   std::string text;
-  for (std::size_t i = 0; i + 1 < parts.size() && text.size() < kMaxLoggedPartBytes; ++i) {
+  for (auto property = properties.rbegin(); property != properties.rend(); ++property) {
+    if (text.size() >= kMaxLoggedPropertyBytes) break;
     if (!text.empty()) text += ',';
-    text += parts[i].id.substr(0, kMaxLoggedPartBytes);
+    text += property->substr(0, kMaxLoggedPropertyBytes);
   }
   return text;
 }
@@ -146,9 +148,6 @@
 void Exchange::Start() {
   facts_ = owner_.options_.codec.read_request(request_->head());
   last_event_ = facts_.last_event_id;
-  for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
-    shared_parts_.push_back(facts_.prompt_parts[i].id);
-  }
   const auto self = shared_from_this();
   request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause cause) {
     if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected(cause);
@@ -190,7 +189,15 @@
   }
   service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
-  return CheckPromptParts();
+  std::vector<std::string> part_ids;
+  for (const PromptPart& part : facts_.prompt_parts) part_ids.push_back(part.id);
+  crash_properties_ = routing::CrashProperties(
+      part_ids, {.customer = customer_,
+                 .method = request_->head().method,
+                 .host = host == nullptr ? std::string_view() : std::string_view(*host),
+                 .target = request_->head().target,
+                 .body = *request_->body()});
+  return CheckCrashProperties();
 }
 
 std::uint64_t Exchange::ExpectedOutput() const {
@@ -327,7 +334,7 @@
   const common::Time now = common::BootClock::now();
   if (queued_at_) queued_for_ += now - *queued_at_;
   queued_at_.reset();
-  if (!CheckPromptParts()) {
+  if (!CheckCrashProperties()) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
                               dispatch.picked.request.work);
     owner_.placement_.OnNotSent(dispatch.choice.id);
@@ -358,6 +365,7 @@
   attempt_.emplace();
   attempt_->number = ++attempt_number_;
   attempt_->backend_server = backend_server;
+  attempt_->server_lifetime = owner_.LifetimeOf(backend_server);
   attempt_->tier = tier;
   attempt_->started_at = now;
   attempt_->progress_at = now;
@@ -432,21 +440,26 @@
   return silent_attempt_ && silent_attempt_->number == attempt;
 }
 
-bool Exchange::CheckPromptParts() {
+bool Exchange::CheckCrashProperties() {
   if (is_trial_) return true;
   const routing::PromptVerdict verdict =
-      owner_.prompt_parts_.Check(shared_parts_, common::BootClock::now());
+      owner_.crash_guard_.Check(crash_properties_, common::BootClock::now());
   if (std::holds_alternative<routing::PromptTrial>(verdict)) {
     is_trial_ = true;
-    owner_.log_.Info(LogLine("prompt_part_trial")
+    owner_.log_.Info(LogLine("crash_property_trial")
                          .Add("request", facts_.id)
-                         .Add("part", std::get<routing::PromptTrial>(verdict).parts.front())
+                         .Add("property", std::get<routing::PromptTrial>(verdict).parts.front())
                          .text());
-    owner_.metrics_.CountEvent("prompt_part_trial");
+    owner_.metrics_.CountEvent("crash_property_trial");
     return true;
   }
   const auto* held = std::get_if<routing::PromptHeld>(&verdict);
   if (held == nullptr) return true;
+  owner_.log_.Info(LogLine("request_held")
+                       .Add("request", facts_.id)
+                       .Add("property", held->evidence.part())
+                       .Add("crashes", held->evidence.crashes())
+                       .text());
   if (response_started_ || !may_have_run_on_.empty()) {
     Fail(kBadGateway, kHeldReason);
   } else {
@@ -457,28 +470,35 @@
 
 bool Exchange::RecordCrash(const Attempt& attempt, http::CallEnd end) {
   const bool broken_off = end == http::CallEnd::kNoResponse || end == http::CallEnd::kCutShort;
-  if (!broken_off || shared_parts_.empty() || attempt.event_count >= kSoundEvents) return true;
-  const routing::CrashConclusion conclusion = owner_.prompt_parts_.OnCrash(
-      shared_parts_, attempt.backend_server.value(), owner_.CountServers(service_),
-      attempt.started_at, common::BootClock::now());
-  for (const auto& [part, crashes] : conclusion.candidates) {
-    owner_.log_.Warn(LogLine("prompt_part_candidate")
+  if (!broken_off || attempt.event_count >= kSoundEvents) return true;
+  const routing::CrashConclusion conclusion = owner_.crash_guard_.OnCrash(
+      crash_properties_, attempt.server_lifetime, owner_.CountServers(service_), attempt.started_at,
+      common::BootClock::now());
+  for (const auto& [property, crashes] : conclusion.candidates) {
+    owner_.log_.Warn(LogLine("crash_property_candidate")
                          .Add("request", facts_.id)
-                         .Add("part", part)
-                         .Add("backend", attempt.backend_server.value())
+                         .Add("property", property)
+                         .Add("backend", attempt.server_lifetime)
                          .Add("crashes", crashes)
                          .Add("may_retry", conclusion.may_retry)
                          .text());
   }
-  owner_.metrics_.CountEvent("prompt_part_candidate");
+  owner_.metrics_.CountEvent("crash_property_candidate");
   return conclusion.may_retry;
 }
 
+void Exchange::RecordSilence(const Attempt& attempt) {
+  if (attempt.has_head || !attempt.connection->sent_at()) return;
+  owner_.crash_guard_.OnSilence(crash_properties_, attempt.server_lifetime,
+                                owner_.CountServers(service_), attempt.started_at,
+                                common::BootClock::now());
+}
+
 void Exchange::RecordSoundStart() {
-  for (const std::string& part :
-       owner_.prompt_parts_.OnSoundStart(shared_parts_, common::BootClock::now())) {
+  for (const std::string& property :
+       owner_.crash_guard_.OnSoundStart(crash_properties_, common::BootClock::now())) {
     owner_.log_.Info(
-        LogLine("prompt_part_sound").Add("request", facts_.id).Add("part", part).text());
+        LogLine("crash_property_sound").Add("request", facts_.id).Add("property", property).text());
   }
 }
 
@@ -523,6 +543,7 @@
     return false;
   }
   RecordStatement(facts, *attempt_);
+  owner_.crash_guard_.OnResponse(attempt_->server_lifetime, common::BootClock::now());
   if (IsDeliverable(head, facts)) attempt_->began_at = common::BootClock::now();
   attempt_->head = head;
   attempt_->has_head = true;
@@ -747,7 +768,7 @@
                        .Add("after_ms", Millis(common::BootClock::now() - attempt.started_at))
                        .Add("status", attempt.has_head ? attempt.head.status : 0)
                        .Add("began", attempt.has_progress)
-                       .Add("parts", SharedParts(facts_.prompt_parts))
+                       .Add("properties", JoinProperties(crash_properties_))
                        .text());
 }
 
@@ -851,6 +872,7 @@
     return;
   }
   if (attempt_) {
+    RecordSilence(*attempt_);
     attempt_->connection->Close();
     ReleaseAttempt(AttemptResult::kInconclusive);
   }
@@ -891,6 +913,7 @@
     return;
   }
   if (now < deadline_ + kDeadlineGracePeriod) return;
+  RecordSilence(*attempt_);
   attempt_->connection->Close();
   may_have_run_on_.insert(attempt_->backend_server);
   ReleaseAttempt(AttemptResult::kFailure);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -138,14 +138,19 @@
 
 void Forwarder::ApplyBackends() {
   std::vector<routing::BackendDescription> descriptions;
-  std::map<common::BackendServerId, std::string> present;
+  std::map<common::BackendServerId, ListedServer> present;
   std::vector<std::pair<common::BackendServerId, bool>> leaving;
   for (const schema::ListedBackend& backend : backends_.backends()) {
     const std::optional<http::Endpoint> address = http::ParseEndpoint(backend.address());
     if (!address) continue;
     const common::BackendServerId id(backend.id());
     // Of several entries with one id, the first counts.
-    if (!present.emplace(id, backend.service()).second) continue;
+    ListedServer server{.service = backend.service(), .lifetime = id.value()};
+    if (backend.started_unix_ms() != 0) {
+      server.lifetime += "@" + std::to_string(backend.started_unix_ms());
+    }
+    server.leaving = backend.leaving();
+    if (!present.emplace(id, std::move(server)).second) continue;
     leaving.emplace_back(id, backend.leaving());
     pool_.Set(id, *address, MaxConnections(backend.service()));
     descriptions.push_back(
@@ -157,50 +162,76 @@
   }
   placement_.SetBackends(descriptions);
   for (const auto& [id, is_leaving] : leaving) placement_.SetDraining(id, is_leaving);
-  for (const auto& [id, service] : service_of_) {
+  for (const auto& [id, server] : servers_) {
     if (present.contains(id)) continue;
     // The list no longer contains the backend server; it may still be running.
     pool_.Remove(id);
-    log_.Info(LogLine("backend_gone").Add("backend", id.value()).Add("service", service).text());
+    log_.Info(
+        LogLine("backend_gone").Add("backend", id.value()).Add("service", server.service).text());
   }
-  for (const auto& [id, service] : present) {
-    if (service_of_.contains(id)) continue;
-    log_.Info(LogLine("backend_listed").Add("backend", id.value()).Add("service", service).text());
+  for (const auto& [id, server] : present) {
+    if (servers_.contains(id)) continue;
+    log_.Info(
+        LogLine("backend_listed").Add("backend", id.value()).Add("service", server.service).text());
   }
-  service_of_ = std::move(present);
+  RecordEndedServers(present);
+  servers_ = std::move(present);
+}
+
+void Forwarder::RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed) {
+  const common::Time now = common::BootClock::now();
+  for (const auto& [id, server] : servers_) {
+    const auto found = listed.find(id);
+    if (server.leaving || (found != listed.end() && found->second.lifetime == server.lifetime)) {
+      continue;
+    }
+    for (const auto& [property, crashes] : crash_guard_.OnServerEnded(server.lifetime, now)) {
+      log_.Warn(LogLine("crash_property_candidate")
+                    .Add("property", property)
+                    .Add("backend", server.lifetime)
+                    .Add("crashes", crashes)
+                    .text());
+      metrics_.CountEvent("crash_property_candidate");
+    }
+  }
+}
+
+std::string Forwarder::LifetimeOf(const common::BackendServerId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? id.value() : found->second.lifetime;
 }
 
 std::uint32_t Forwarder::CountServers(const std::string& service) const {
   return static_cast<std::uint32_t>(
-      std::count_if(service_of_.begin(), service_of_.end(),
-                    [&](const auto& item) { return item.second == service; }));
+      std::count_if(servers_.begin(), servers_.end(),
+                    [&](const auto& item) { return item.second.service == service; }));
 }
 
-void Forwarder::SetPromptParts(const std::vector<schema::PromptPart>& rows) {
+void Forwarder::SetCrashEvidence(const std::vector<schema::PromptPart>& rows) {
   std::set<std::string> held;
   for (const schema::PromptPart& row : rows) {
     if (!row.held()) continue;
     held.insert(row.part());
-    if (held_prompt_parts_.contains(row.part())) continue;
+    if (held_properties_.contains(row.part())) continue;
     std::string servers;
     for (const std::string& server : row.backend_servers()) {
       servers += (servers.empty() ? "" : ",") + server;
     }
-    log_.Warn(LogLine("prompt_part_held")
-                  .Add("part", row.part())
+    log_.Warn(LogLine("crash_property_held")
+                  .Add("property", row.part())
                   .Add("crashes", row.crashes())
                   .Add("servers", servers)
                   .Add("next_trial_unix_ms", row.next_trial_unix_ms())
                   .text());
-    metrics_.CountEvent("prompt_part_held");
+    metrics_.CountEvent("crash_property_held");
   }
-  for (const std::string& part : held_prompt_parts_) {
+  for (const std::string& part : held_properties_) {
     if (held.contains(part)) continue;
-    log_.Info(LogLine("prompt_part_cleared").Add("part", part).text());
-    metrics_.CountEvent("prompt_part_cleared");
+    log_.Info(LogLine("crash_property_cleared").Add("property", part).text());
+    metrics_.CountEvent("crash_property_cleared");
   }
-  held_prompt_parts_ = std::move(held);
-  prompt_parts_.SetRows(rows);
+  held_properties_ = std::move(held);
+  crash_guard_.SetRows(rows);
 }
 
 Forwarder::ServiceState& Forwarder::StateOf(const std::string& service) {
@@ -309,7 +340,7 @@
     DispatchQueued(service);
   }
   pool_.CloseExpired(now);
-  prompt_parts_.Expire(now);
+  crash_guard_.Expire(now);
 }
 
 }  // namespace briarwood::forwarding::impl
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -354,7 +354,7 @@
 
   void ReportEvidence(common::Time now) {
     if (evidence_in_flight_ || now - last_evidence_at_ < kMinEvidenceInterval) return;
-    auto evidence = forwarder_.prompt_parts().TakeReport(now);
+    auto evidence = forwarder_.crash_guard().TakeReport(now);
     if (!evidence) return;
     evidence_in_flight_ = true;
     last_evidence_at_ = now;
@@ -367,14 +367,14 @@
           const bool applied = response.status() == schema::ProposeResponse::STATUS_APPLIED;
           boost::asio::post(loop_, [this, evidence, applied] {
             evidence_in_flight_ = false;
-            if (!applied) forwarder_.prompt_parts().PutBack(evidence, common::BootClock::now());
+            if (!applied) forwarder_.crash_guard().PutBack(evidence, common::BootClock::now());
           });
         });
   }
 
   void RequestTrial(common::Time now) {
     if (trial_in_flight_) return;
-    const std::vector<std::string> parts = forwarder_.prompt_parts().TakeWantedTrial();
+    const std::vector<std::string> parts = forwarder_.crash_guard().TakeWantedTrial();
     if (parts.empty()) return;
     trial_in_flight_ = true;
     schema::Command command;
@@ -390,7 +390,7 @@
                                response.result().code() == schema::RESULT_CODE_OK;
           boost::asio::post(loop_, [this, parts, granted] {
             trial_in_flight_ = false;
-            if (granted) forwarder_.prompt_parts().OnTrialGranted(parts, common::BootClock::now());
+            if (granted) forwarder_.crash_guard().OnTrialGranted(parts, common::BootClock::now());
           });
         });
   }
@@ -409,7 +409,7 @@
 
   void ApplyPromptParts() {
     boost::asio::post(loop_,
-                      [this, rows = replica_.PromptParts()] { forwarder_.SetPromptParts(rows); });
+                      [this, rows = replica_.PromptParts()] { forwarder_.SetCrashEvidence(rows); });
   }
 
   /// Runs on the thread that applies sync responses. No response is applied meanwhile, so all rows
@@ -483,7 +483,7 @@
     // the connection to the control members.
     const bool fresh = response.confirmed() && response.freshness_age_ms() <= kMaxConfirmationAgeMs;
     if (fresh) {
-      boost::asio::post(loop_, [this, now] { forwarder_.prompt_parts().OnControlContact(now); });
+      boost::asio::post(loop_, [this, now] { forwarder_.crash_guard().OnControlContact(now); });
     }
     if (fresh && control_disconnected_.exchange(false)) {
       log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
@@ -493,7 +493,7 @@
       boost::asio::post(loop_, [this, agreed_at, agreed = response.agreed_unix_ms()] {
         const common::UnixMillis time(static_cast<std::int64_t>(agreed));
         usage_counter_.SetAgreedTime(time, agreed_at);
-        forwarder_.prompt_parts().SetAgreedTime(time, agreed_at);
+        forwarder_.crash_guard().SetAgreedTime(time, agreed_at);
         forwarder_.SetAgreedTime(time, agreed_at);
       });
     }
@@ -596,7 +596,7 @@
   http::Timer tick_timer_;
   impl::UsageCounter usage_counter_;
   proposals::UsageReporter reporter_;
-  /// Reports evidence against prompt parts and requests trials.
+  /// Reports evidence against properties of requests and requests trials.
   proposals::BackgroundProposer evidence_proposer_;
   distribution::Replica replica_;
   distribution::SyncClient sync_client_;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -17,6 +17,8 @@
   /// Distinguishes the attempts of one request.
   std::uint64_t number = 0;
   common::BackendServerId backend_server;
+  /// Identifies the server process that the attempt was sent to, see Forwarder::LifetimeOf.
+  std::string server_lifetime;
   common::Tier tier;
   common::Time started_at;
   /// Time of the last progress: the start of the attempt, its response or a whole new event. Other
@@ -103,13 +105,16 @@
   [[nodiscard]] bool StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
                                   double work, common::Time now);
   void SendAttempt();
-  /// Rejects the request, or fails it if a server may have run it, when a part of its prompt is
+  /// Rejects the request, or fails it if a server may have run it, when one of its properties is
   /// held back.
   /// \returns true if the request may be sent.
-  [[nodiscard]] bool CheckPromptParts();
-  /// Records that a server ended the attempt, if that may be due to the prompt.
+  [[nodiscard]] bool CheckCrashProperties();
+  /// Records that a server ended the attempt, if that may be due to the request.
   /// \returns false if a retry may crash the next server.
   bool RecordCrash(const Attempt& attempt, http::CallEnd end);
+  /// Records that the attempt ended while its server was silent, as a server does that has lost
+  /// power.
+  void RecordSilence(const Attempt& attempt);
   /// Records that the server of the current attempt has begun a sound response.
   void RecordSoundStart();
   /// \returns false if the response belongs to another request.
@@ -241,9 +246,9 @@
   std::string stream_media_type_;
   bool disconnected_ = false;
   bool usage_counted_ = false;
-  /// Ids of the parts of the prompt that other requests may share.
-  std::vector<std::string> shared_parts_;
-  /// The request is the trial of a held prompt part.
+  /// Properties that may crash servers, see routing::CrashProperties.
+  std::vector<std::string> crash_properties_;
+  /// The request is the trial of a held property.
   bool is_trial_ = false;
   std::optional<std::uint64_t> last_event_;
   std::optional<common::Time> first_byte_at_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -16,6 +16,7 @@
 #include "briarwood/http/incoming.h"
 #include "briarwood/observability/log.h"
 #include "briarwood/observability/metrics.h"
+#include "briarwood/routing/crash_properties.h"
 #include "briarwood/routing/dispatch.h"
 #include "briarwood/routing/forward_table.h"
 #include "briarwood/routing/placement.h"
@@ -60,9 +61,9 @@
   /// \param at  time of this entry's clock to which it belongs
   void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
-  /// Replaces the fleet's evidence against prompt parts.
-  void SetPromptParts(const std::vector<schema::PromptPart>& rows);
-  [[nodiscard]] routing::PromptPartGuard& prompt_parts() noexcept { return prompt_parts_; }
+  /// Replaces the fleet's evidence against properties of requests.
+  void SetCrashEvidence(const std::vector<schema::PromptPart>& rows);
+  [[nodiscard]] routing::PromptPartGuard& crash_guard() noexcept { return crash_guard_; }
 
   /// From now on, rejects new requests before any backend server receives them. Requests in
   /// progress continue.
@@ -97,6 +98,12 @@
     std::map<common::RequestId, Exchange*> exchanges;
   };
 
+  struct ListedServer {
+    std::string service;
+    std::string lifetime;
+    bool leaving = false;
+  };
+
   /// \returns the open requests, which may end while the caller iterates over them.
   [[nodiscard]] std::vector<std::shared_ptr<Exchange>> OpenExchanges() const;
   ServiceState& StateOf(const std::string& service);
@@ -118,6 +125,11 @@
   [[nodiscard]] std::uint32_t MaxConnections(const std::string& service) const;
   void ApplyBackends();
   [[nodiscard]] std::uint32_t CountServers(const std::string& service) const;
+  /// \returns a name of the process that runs as this backend server, which differs between two
+  ///   processes with the same id as far as the list shows it.
+  [[nodiscard]] std::string LifetimeOf(const common::BackendServerId& id) const;
+  /// Tells the guard which server processes have ended without having been announced as leaving.
+  void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
   void LogPromptLimit(const std::string& service, ServiceState& state);
 
   http::EventLoop& loop_;
@@ -129,16 +141,17 @@
   common::LogIndex table_index_;
   schema::BackendList backends_;
   std::optional<common::Time> list_read_at_;
-  std::map<common::BackendServerId, std::string> service_of_;
+  /// Backend servers in the list.
+  std::map<common::BackendServerId, ListedServer> servers_;
   std::uint32_t entries_ = 0;
   /// Place among the highest recent number of entries, among which limits of servers are split.
   routing::FleetPosition position_;
   common::Time peak_entries_at_;
   routing::Placement placement_;
   routing::ServiceRetryBudget retry_budget_;
-  routing::PromptPartGuard prompt_parts_;
-  /// Held parts in the last rows of the control members.
-  std::set<std::string> held_prompt_parts_;
+  routing::PromptPartGuard crash_guard_;
+  /// Held properties in the last rows of the control members.
+  std::set<std::string> held_properties_;
   ConnectionPool pool_;
   std::map<std::string, ServiceState> services_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -44,7 +44,7 @@
     return;
   }
   if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
-  if (owner_.prompt_parts_.HasEvidence(shared_parts_)) return;
+  if (owner_.crash_guard_.HasEvidence(crash_properties_)) return;
   next_replacement_at_ = now + replacement_interval_;
   const std::size_t ran_on =
       may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
@@ -106,6 +106,7 @@
                        .Add("after_ms", Millis(common::BootClock::now() - attempt_->started_at))
                        .text());
   NoteRun(*silent_attempt_);
+  RecordSilence(*silent_attempt_);
   ReleaseSilentAttempt(AttemptResult::kFailure);
 }
 
--- a/src/routing/prompt_part_guard.cc
+++ b/src/routing/prompt_part_guard.cc
@@ -26,6 +26,10 @@
 constexpr std::size_t kMaxUnreportedCrashes = 256;
 /// Evidence that could not be reported for this long is left to the table of this entry.
 constexpr std::uint64_t kMaxReportAgeMs = 10'000;
+/// The list of backend servers shows some seconds after a server has ended that it is gone.
+constexpr std::chrono::seconds kSilencePeriod{20};
+constexpr std::size_t kMaxSilences = 256;
+constexpr std::size_t kMaxRespondingServers = 8192;
 
 std::uint64_t BootMillis(common::Time at) {
   const auto since = std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
@@ -173,6 +177,46 @@
   return conclusion;
 }
 
+bool PromptPartGuard::HasRespondedAfter(const std::string& server, common::Time at) const {
+  const auto found = responded_at_.find(server);
+  return found != responded_at_.end() && found->second >= at;
+}
+
+void PromptPartGuard::OnResponse(const std::string& server, common::Time now) {
+  if (responded_at_.size() >= kMaxRespondingServers && !responded_at_.contains(server)) {
+    responded_at_.clear();
+  }
+  responded_at_[server] = now;
+}
+
+void PromptPartGuard::OnSilence(const std::vector<std::string>& parts, const std::string& server,
+                                std::uint32_t servers, common::Time sent_at, common::Time now) {
+  if (!HasRespondedAfter(server, sent_at)) return;
+  if (ended_at_.contains(server)) {
+    OnCrash(parts, server, servers, sent_at, now);
+  } else if (silences_.size() < kMaxSilences) {
+    silences_.push_back({.parts = parts,
+                         .server = server,
+                         .servers = servers,
+                         .sent_at = sent_at,
+                         .ended_at = now});
+  }
+}
+
+std::vector<std::pair<std::string, std::uint32_t>> PromptPartGuard::OnServerEnded(
+    const std::string& server, common::Time now) {
+  std::vector<std::pair<std::string, std::uint32_t>> candidates;
+  for (const Silence& silence : silences_) {
+    if (silence.server != server) continue;
+    const auto conclusion =
+        OnCrash(silence.parts, server, silence.servers, silence.sent_at, silence.ended_at);
+    candidates.insert(candidates.end(), conclusion.candidates.begin(), conclusion.candidates.end());
+  }
+  std::erase_if(silences_, [&](const Silence& silence) { return silence.server == server; });
+  ended_at_[server] = now;
+  return candidates;
+}
+
 std::vector<std::string> PromptPartGuard::OnSoundStart(const std::vector<std::string>& parts,
                                                        common::Time now) {
   std::vector<std::string> cleared;
@@ -245,6 +289,13 @@
 void PromptPartGuard::Expire(common::Time now) {
   own_.Expire(BootMillis(now));
   static_cast<void>(own_.TakeChanged());
+  std::erase_if(silences_,
+                [&](const Silence& silence) { return now - silence.ended_at > kSilencePeriod; });
+  std::erase_if(ended_at_, [&](const auto& item) {
+    if (now - item.second <= kSilencePeriod) return false;
+    responded_at_.erase(item.first);
+    return true;
+  });
   std::erase_if(cleared_, [&](const auto& item) {
     return now - item.second > kClearPeriod && IsConnected(now);
   });
--- a/src/routing/prompt_part_table.cc
+++ b/src/routing/prompt_part_table.cc
@@ -13,6 +13,18 @@
 /// Bounds on what one request can add to the table.
 constexpr std::size_t kMaxPartBytes = 64;
 constexpr std::size_t kMaxPartsOfCrash = 32;
+/// A held part that crashes a server in its trial will hardly be sound soon, and each trial ends
+/// the requests that run beside it.
+constexpr std::uint64_t kTrialDelayGrowth = 4;
+
+/// \returns true if all servers that crashed under `narrow` also crashed under `wide`.
+bool HasServersOf(const schema::PromptPart& wide, const schema::PromptPart& narrow) {
+  const auto& servers = wide.backend_servers();
+  return std::all_of(narrow.backend_servers().begin(), narrow.backend_servers().end(),
+                     [&](const std::string& server) {
+                       return std::find(servers.begin(), servers.end(), server) != servers.end();
+                     });
+}
 
 }  // namespace
 
@@ -31,17 +43,16 @@
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
     const auto& [other, other_evidence] = item;
     return other_evidence.held() && std::find(parts.begin(), parts.end(), other) == parts.end() &&
-           std::equal(other_evidence.backend_servers().begin(),
-                      other_evidence.backend_servers().end(), evidence.backend_servers().begin(),
-                      evidence.backend_servers().end());
+           HasServersOf(other_evidence, evidence);
   });
 }
 
 std::vector<std::string> PromptPartTable::RecordCrash(const schema::PromptPartCrash& crash) {
+  // The last ones are the most specific ones, see CrashProperties.
   std::set<std::string> parts;
-  for (const std::string& part : crash.parts()) {
-    if (part.empty() || part.size() > kMaxPartBytes) continue;
-    if (parts.size() < kMaxPartsOfCrash) parts.insert(part);
+  for (int i = crash.parts_size() - 1; i >= 0 && parts.size() < kMaxPartsOfCrash; --i) {
+    const std::string& part = crash.parts(i);
+    if (!part.empty() && part.size() <= kMaxPartBytes) parts.insert(part);
   }
   std::vector<std::string> counted;
   for (const std::string& part : parts) {
@@ -69,7 +80,7 @@
       std::clamp(crash.backend_servers(), options_.min_held_crashes, options_.held_crashes);
   if (evidence.held()) {
     evidence.set_trial_delay_ms(
-        std::min(2 * evidence.trial_delay_ms(), options_.max_trial_delay_ms));
+        std::min(kTrialDelayGrowth * evidence.trial_delay_ms(), options_.max_trial_delay_ms));
   } else if (evidence.crashes() >= threshold) {
     evidence.set_held(true);
     evidence.set_trial_delay_ms(options_.first_trial_delay_ms);
--- a/tests/routing/prompt_part_guard_test.cc
+++ b/tests/routing/prompt_part_guard_test.cc
@@ -234,5 +234,35 @@
   EXPECT_EQ(retry_after(kStart + seconds(60)), milliseconds(300));
 }
 
+// Guards against a server that loses power under a request, so that the connection stays silent
+// until the time limit, and is no evidence.
+TEST_F(PromptPartGuardTest, SilenceCountsAsACrashOnceTheServerHasEnded) {
+  const auto end_silently = [this](const std::string& server, seconds at) {
+    const common::Time sent_at = kStart + at;
+    guard_.OnResponse(server, sent_at + milliseconds(10));
+    guard_.OnSilence(kBad, server, 8, sent_at, sent_at + milliseconds(500));
+    return guard_.OnServerEnded(server, sent_at + seconds(2));
+  };
+  EXPECT_THAT(end_silently("s1", seconds(1)), ElementsAre(Pair("shared", 0U), Pair("bad", 0U)));
+  // The list may show the end before the time limit of the request has passed.
+  guard_.OnResponse("s2", kStart + seconds(5));
+  EXPECT_THAT(guard_.OnServerEnded("s2", kStart + seconds(6)), IsEmpty());
+  guard_.OnSilence(kBad, "s2", 8, kStart + seconds(5), kStart + seconds(7));
+  EXPECT_THAT(end_silently("s3", seconds(10)), ElementsAre(Pair("shared", 2U), Pair("bad", 2U)));
+  EXPECT_TRUE(IsHeld(guard_.Check(kBad, kStart + seconds(11))));
+}
+
+// Guards against a request that is held because servers were slow or had ended before it was sent.
+TEST_F(PromptPartGuardTest, OtherSilenceIsNoCrash) {
+  guard_.OnResponse("slow", kStart + seconds(2));
+  guard_.OnSilence(kBad, "slow", 8, kStart + seconds(1), kStart + seconds(3));
+  guard_.OnResponse("gone", kStart);
+  guard_.OnSilence(kBad, "gone", 8, kStart + seconds(1), kStart + seconds(3));
+  EXPECT_THAT(guard_.OnServerEnded("gone", kStart + seconds(4)), IsEmpty());
+  guard_.Expire(kStart + seconds(30));
+  EXPECT_THAT(guard_.OnServerEnded("slow", kStart + seconds(30)), IsEmpty());
+  EXPECT_FALSE(guard_.HasEvidence(kBad));
+}
+
 }  // namespace
 }  // namespace briarwood::routing
