--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -366,6 +366,7 @@
   attempt_->number = ++attempt_number_;
   attempt_->backend_server = backend_server;
   attempt_->server_lifetime = owner_.LifetimeOf(backend_server);
+  attempt_->server_version = owner_.VersionOf(backend_server);
   attempt_->tier = tier;
   attempt_->started_at = now;
   attempt_->progress_at = now;
@@ -763,6 +764,7 @@
   owner_.log_.Warn(LogLine("attempt_failed")
                        .Add("request", facts_.id)
                        .Add("backend", attempt.backend_server.value())
+                       .Add("version", attempt.server_version)
                        .Add("end", NameOf(end))
                        .Add("attempt", sent_attempts_)
                        .Add("after_ms", Millis(common::BootClock::now() - attempt.started_at))
@@ -845,6 +847,7 @@
   owner_.buffered_body_bytes_ -= std::min(owner_.buffered_body_bytes_, attempt.body.size());
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
+  last_version_ = attempt.server_version;
   owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work);
   switch (result) {
     case AttemptResult::kSuccess:
@@ -964,6 +967,8 @@
       .Add("tier", tier_.value())
       .Add("service", service_)
       .Add("backend", last_backend_.value())
+      .Add("version", last_version_)
+      .Add("resumed_after", facts_.last_event_id ? std::to_string(*facts_.last_event_id) : "")
       .Add("sends", sent_attempts_)
       .Add("queued_ms", Millis(queued_for_))
       .Add("first_ms", first_byte_at_ ? Millis(*first_byte_at_ - request_->arrived_at()) : -1)
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -149,6 +149,7 @@
     if (backend.started_unix_ms() != 0) {
       server.lifetime += "@" + std::to_string(backend.started_unix_ms());
     }
+    server.software_version = backend.software_version();
     server.leaving = backend.leaving();
     if (!present.emplace(id, std::move(server)).second) continue;
     leaving.emplace_back(id, backend.leaving());
@@ -171,8 +172,11 @@
   }
   for (const auto& [id, server] : present) {
     if (servers_.contains(id)) continue;
-    log_.Info(
-        LogLine("backend_listed").Add("backend", id.value()).Add("service", server.service).text());
+    log_.Info(LogLine("backend_listed")
+                  .Add("backend", id.value())
+                  .Add("service", server.service)
+                  .Add("version", server.software_version)
+                  .text());
   }
   RecordEndedServers(present);
   servers_ = std::move(present);
@@ -201,6 +205,11 @@
   return found == servers_.end() ? id.value() : found->second.lifetime;
 }
 
+std::string Forwarder::VersionOf(const common::BackendServerId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? std::string() : found->second.software_version;
+}
+
 std::uint32_t Forwarder::CountServers(const std::string& service) const {
   return static_cast<std::uint32_t>(
       std::count_if(servers_.begin(), servers_.end(),
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -19,6 +19,8 @@
   common::BackendServerId backend_server;
   /// Identifies the server process that the attempt was sent to, see Forwarder::LifetimeOf.
   std::string server_lifetime;
+  /// Software version of the server when the attempt was sent; empty if unknown.
+  std::string server_version;
   common::Tier tier;
   common::Time started_at;
   /// Time of the last progress: the start of the attempt, its response or a whole new event. Other
@@ -232,6 +234,7 @@
   /// Backend servers that may have run the request.
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
+  std::string last_version_;
   std::uint32_t sent_attempts_ = 0;
   common::Time retry_at_;
   std::chrono::milliseconds retry_interval_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -101,6 +101,7 @@
   struct ListedServer {
     std::string service;
     std::string lifetime;
+    std::string software_version;
     bool leaving = false;
   };
 
@@ -128,6 +129,8 @@
   /// \returns a name of the process that runs as this backend server, which differs between two
   ///   processes with the same id as far as the list shows it.
   [[nodiscard]] std::string LifetimeOf(const common::BackendServerId& id) const;
+  /// \returns the software version of a backend server; empty if the list states none.
+  [[nodiscard]] std::string VersionOf(const common::BackendServerId& id) const;
   /// Tells the guard which server processes have ended without having been announced as leaving.
   void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
   void LogPromptLimit(const std::string& service, ServiceState& state);
--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -153,7 +153,7 @@
   }
 
   void List(const std::string& id, const std::string& address, bool leaving = false,
-            std::uint64_t started_unix_ms = 0) {
+            std::uint64_t started_unix_ms = 0, const std::string& version = "") {
     const std::lock_guard lock(list_mutex_);
     for (schema::ListedBackend& backend : *list_.mutable_backends()) {
       if (backend.id() != id) continue;
@@ -168,6 +168,7 @@
     backend.set_address(address);
     backend.set_failure_domain("east");
     backend.set_slots(8);
+    backend.set_software_version(version);
     backend.set_started_unix_ms(started_unix_ms);
     backend.set_leaving(leaving);
   }
