Let a stream go on only at the software version that began it

What callers saw: streams whose first events came from one version of the servers' software and the rest from another, with nothing in the answer to show it.

Cause: the work goes on elsewhere, and the server was chosen without what the work so far depends on. Retries and replacements within one answer, and take-ups by callers, asked for the service only, and nothing outside the memory of one entry knew where a stream began. Ruled out: an id that stands for two versions (both servers of the record have their own).

Change: the version is part of what a begun stream requires of its server, in Capability. Starts of streams are recorded in the control log under a hash of customer and request id, and a request that takes a stream up is looked up by the id that it names in Resumes. Without a record it goes on only if the service has one version. No server of the version while others are listed ends the stream, visibly broken.

--- a/include/briarwood/control/control_state.h
+++ b/include/briarwood/control/control_state.h
@@ -14,6 +14,7 @@
 #include "briarwood/control/documents.h"
 #include "briarwood/control/operator_records.h"
 #include "briarwood/control/order_table.h"
+#include "briarwood/control/stream_version_table.h"
 #include "briarwood/control/suspect_registry.h"
 #include "briarwood/distribution/row_table.h"
 #include "briarwood/routing/prompt_part_table.h"
@@ -80,6 +81,8 @@
   schema::CommandResult RecordAction(const schema::RecordAction& command, common::LogIndex index);
   schema::CommandResult RecordPartEvidence(const schema::RecordPartEvidence& command,
                                            common::LogIndex index);
+  schema::CommandResult RecordStreams(const schema::RecordStreams& command,
+                                      common::LogIndex index);
   schema::CommandResult BeginPartTrial(const schema::BeginPartTrial& command,
                                        common::LogIndex index);
   schema::CommandResult ClearPromptPart(const schema::ClearPromptPart& command,
@@ -103,6 +106,7 @@
   OperatorRecords records_;
   ClaimTable claims_;
   SuspectRegistry suspects_;
+  StreamVersionTable stream_versions_;
   routing::PromptPartTable prompt_parts_;
   OrderTable orders_;
   usage::UsageWindows usage_;
--- a/include/briarwood/forwarding/wire_codec.h
+++ b/include/briarwood/forwarding/wire_codec.h
@@ -35,6 +35,9 @@
   std::vector<PromptPart> prompt_parts;
   /// Id of the last event that the caller has received, if it resumes a stream.
   std::optional<std::uint64_t> last_event_id;
+  /// Id of the caller's request that brought the first event of the stream that it resumes; empty
+  /// if the caller names none.
+  std::string resumed_request;
 };
 
 /// Values that the entry adds to the header of a forwarded request.
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,8 @@
   std::string model_version;
   /// Name of a plain service; empty for an engine.
   std::string service;
+  /// Version of the software; empty if the server states none.
+  std::string software_version;
   /// False for an engine whose role is prefill or decode: it executes only that phase of a request.
   bool takes_requests = true;
   std::uint32_t max_concurrency = 1;
@@ -186,6 +189,9 @@
 
   [[nodiscard]] std::uint32_t InFlight(const common::BackendServerId& id) const;
   [[nodiscard]] bool IsSlow(const common::BackendServerId& id, common::Time now);
+  /// \returns true if a server for `capability` takes new requests, apart from those in `except`.
+  [[nodiscard]] bool HasServer(const Capability& capability,
+                               const std::set<common::BackendServerId>& except);
   /// Number of servers that this entry uses for `capability`.
   [[nodiscard]] std::size_t SubsetSize(const Capability& capability);
 
--- a/include/briarwood/routing/request.h
+++ b/include/briarwood/routing/request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "briarwood/common/digest.h"
@@ -18,6 +19,9 @@
   std::string model_version;
   /// Name of a plain service; empty for an engine.
   std::string service;
+  /// Version of the server's software, which a stream that has begun requires. A server that states
+  /// none has the empty version, which equals no other.
+  std::optional<std::string> software_version;
 
   // False positive: the check mistakes the generated comparison with zero for a null pointer.
   // NOLINTNEXTLINE(modernize-use-nullptr)
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -69,6 +69,8 @@
       return function(*command.mutable_begin_part_trial());
     case schema::Command::kClearPromptPart:
       return function(*command.mutable_clear_prompt_part());
+    case schema::Command::kRecordStreams:
+      return function(*command.mutable_record_streams());
     case schema::Command::kRecordReceipt:
     case schema::Command::kRecordOrderOutcome:
     case schema::Command::BODY_NOT_SET:
@@ -115,6 +117,7 @@
   claims_.Expire(clock_unix_ms_);
   suspects_.Expire(clock_unix_ms_);
   prompt_parts_.Expire(clock_unix_ms_);
+  stream_versions_.Expire(clock_unix_ms_);
 }
 
 schema::CommandResult ControlState::Dispatch(common::LogIndex index,
@@ -158,6 +161,8 @@
       return BeginPartTrial(command.begin_part_trial(), index);
     case schema::Command::kClearPromptPart:
       return ClearPromptPart(command.clear_prompt_part(), index);
+    case schema::Command::kRecordStreams:
+      return RecordStreams(command.record_streams(), index);
     default:
       return MakeResult(schema::RESULT_CODE_INVALID, index, "unknown command");
   }
@@ -333,6 +338,18 @@
   return impl::Ok(index);
 }
 
+schema::CommandResult ControlState::RecordStreams(const schema::RecordStreams& command,
+                                                  common::LogIndex index) {
+  for (const schema::StreamStarts& starts : command.starts()) {
+    stream_versions_.Record(starts, clock_unix_ms_);
+  }
+  schema::CommandResult result = impl::Ok(index);
+  for (const schema::StreamLookup& lookup : command.lookups()) {
+    *result.add_streams() = stream_versions_.LookUp(lookup);
+  }
+  return result;
+}
+
 schema::CommandResult ControlState::BeginPartTrial(const schema::BeginPartTrial& command,
                                                    common::LogIndex index) {
   if (prompt_parts_.BeginTrial(command, clock_unix_ms_) == routing::PromptPartTrial::kGranted) {
@@ -410,6 +427,7 @@
   claims_.Save(*snapshot.mutable_claims());
   *snapshot.mutable_suspects() = suspects_.Save();
   *snapshot.mutable_prompt_parts() = prompt_parts_.Save();
+  *snapshot.mutable_stream_versions() = stream_versions_.Save();
   *snapshot.mutable_orders() = orders_.Save();
   snapshot.set_usage(usage_.Serialize().SerializeAsString());
   return snapshot.SerializeAsString();
@@ -432,6 +450,7 @@
   state.claims_.Restore(snapshot.claims());
   state.suspects_.Restore(snapshot.suspects());
   state.prompt_parts_.Restore(snapshot.prompt_parts());
+  state.stream_versions_.Restore(snapshot.stream_versions());
   state.orders_.Restore(snapshot.orders());
   schema::UsageSnapshot usage;
   if (!usage.ParseFromString(snapshot.usage())) {
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -152,7 +152,7 @@
   request_->OnDisconnected([weak = weak_from_this()](http::DisconnectCause cause) {
     if (const auto exchange = weak.lock()) exchange->OnCallerDisconnected(cause);
   });
-  if (Admit()) Queue();
+  if (Admit()) Proceed();
 }
 
 bool Exchange::Admit() {
@@ -246,7 +246,7 @@
   if (state_ != State::kHeld) return;
   state_ = State::kQueued;
   table_ = owner_.table_;
-  if (Admit()) Queue();
+  if (Admit()) Proceed();
 }
 
 routing::ClassPolicy Exchange::Policy() const {
@@ -286,25 +286,14 @@
 }
 
 void Exchange::Queue() {
-  routing::QueuedRequest queued;
-  const routing::ClassPolicy policy = Policy();
-  queued.id = id();
-  queued.class_id = policy.id;
-  queued.customer = customer_;
-  queued.capability.service = service_;
-  queued.prefix_hash = PrefixHash();
-  queued.input_tokens = facts_.prompt_tokens;
-  queued.work = Work();
-  queued.expected_output_tokens =
-      static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
   const common::Time arrived = request_->arrived_at();
-  queued.first_token_deadline = arrived + milliseconds(route_->target_ms());
   const milliseconds target(route_->target_ms());
   auto share = common::FromSeconds(common::ToSeconds(deadline_ - arrived) * kMaxQueueShare);
   if (route_->kind() == schema::CALL_KIND_STREAM) {
     share = std::min<common::Duration>(share, kMaxQueueTargets * target);
   }
-  queued.deadline = std::min(deadline_, arrived + std::max<common::Duration>(target, share));
+  routing::QueuedRequest queued =
+      MakeQueuedRequest(std::min(deadline_, arrived + std::max<common::Duration>(target, share)));
   queued_at_ = common::BootClock::now();
   // A caller that would not be served in time learns at once when to come back.
   const common::Duration wait = owner_.ExpectedWait(service_, tier_, *queued_at_);
@@ -313,7 +302,30 @@
     return;
   }
   in_scheduler_ = true;
-  owner_.Enqueue(service_, policy, std::move(queued), *this);
+  owner_.Enqueue(service_, QueuePolicy(), std::move(queued), *this);
+}
+
+routing::QueuedRequest Exchange::MakeQueuedRequest(common::Time deadline) const {
+  routing::QueuedRequest queued;
+  queued.id = id();
+  queued.class_id = QueuePolicy().id;
+  queued.customer = customer_;
+  queued.capability = Capability();
+  queued.prefix_hash = PrefixHash();
+  queued.input_tokens = facts_.prompt_tokens;
+  queued.work = Work();
+  queued.expected_output_tokens =
+      static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
+  queued.first_token_deadline = request_->arrived_at() + milliseconds(route_->target_ms());
+  queued.deadline = deadline;
+  return queued;
+}
+
+routing::Capability Exchange::Capability() const {
+  routing::Capability capability;
+  capability.service = service_;
+  capability.software_version = pinned_version_;
+  return capability;
 }
 
 void Exchange::OnDropped(routing::DropReason reason) {
@@ -662,6 +674,7 @@
   }
   if (event.id) last_event_ = event.id;
   if (!response_started_) StartStream();
+  PinVersion();
   request_->Write(event.text);
   ++delivered_events_;
   owner_.StateOf(service_).scheduler.Charge(id(), 1, common::BootClock::now());
@@ -887,8 +900,12 @@
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
-  if ((state_ == State::kQueued || state_ == State::kWaiting) && HasNotRun() &&
-      !EndsBeforeStop(now)) {
+  if (state_ == State::kLookUp && now >= look_up_until_) {
+    Reject(kUnavailable, "stream_lookup_timeout", RetryDelay());
+    return;
+  }
+  if ((state_ == State::kLookUp || state_ == State::kQueued || state_ == State::kWaiting) &&
+      HasNotRun() && !EndsBeforeStop(now)) {
     Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
     return;
   }
@@ -996,6 +1013,7 @@
                       [&owner = owner_, service = service_] { owner.DispatchQueued(service); });
   }
   owner_.held_.erase(number_);
+  owner_.stream_versions_.Withdraw(number_);
   owner_.exchanges_.erase(number_);
 }
 
--- a/src/forwarding/exchange_retries.cc
+++ b/src/forwarding/exchange_retries.cc
@@ -8,7 +8,7 @@
 
 bool Exchange::TryRetry(bool may_have_run) {
   const common::Time now = common::BootClock::now();
-  if (!MayRetry(may_have_run, now)) return false;
+  if (!MayRetry(may_have_run, now) || !HasServerToGoOn()) return false;
   // After an attempt that never arrived, a further one does not count against the retry budget,
   // which metrics and settings call the repeat budget.
   uncharged_retry_ = may_have_run || last_attempt_rejected_;
@@ -45,6 +45,8 @@
 void Exchange::EndWait(common::Time now) {
   if (deadline_ - now < kMinTimeLeft) {
     Fail(kGatewayTimeout, "no_backend_in_time");
+  } else if (!HasServerToGoOn()) {
+    Fail(kBadGateway, "no_server_of_version");
   } else if (now >= retry_at_) {
     ChargeRetry(now) ? QueueRetry(now) : WaitForRetry(now);
   }
@@ -75,7 +77,17 @@
   queued_at_ = now;
   Forwarder::ServiceState& state = owner_.StateOf(service_);
   const std::uint64_t resume_from = last_event_.value_or(0);
-  state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
+  if (pinned_version_) {
+    state.scheduler.Finish(id());
+    routing::QueuedRequest queued = MakeQueuedRequest(RetryQueueDeadline(now));
+    queued.resume_from = resume_from;
+    queued.avoid = last_backend_;
+    queued.interruptions = sent_attempts_;
+    state.scheduler.SetClass(QueuePolicy());
+    static_cast<void>(state.scheduler.Enqueue(std::move(queued), now));
+  } else {
+    state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
+  }
   boost::asio::post(owner_.loop_, [weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->owner_.DispatchQueued(exchange->service_);
   });
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -158,6 +158,7 @@
         {.id = id,
          .failure_domain = common::FailureDomainId(backend.failure_domain()),
          .service = backend.service(),
+         .software_version = backend.software_version(),
          .max_concurrency = backend.slots() == 0 ? kDefaultSlots : backend.slots(),
          .lifetime = backend.address() + "/" + std::to_string(backend.started_unix_ms())});
   }
@@ -210,6 +211,23 @@
   return found == servers_.end() ? std::string() : found->second.software_version;
 }
 
+std::set<std::string> Forwarder::VersionsOf(const std::string& service) const {
+  std::set<std::string> versions;
+  for (const auto& [id, server] : servers_) {
+    if (server.service == service) versions.insert(server.software_version);
+  }
+  return versions;
+}
+
+void Forwarder::OnStreamBatchApplied(const schema::CommandResult& result) {
+  for (const routing::StreamLookupAnswer& answer : stream_versions_.OnBatchApplied(result)) {
+    const auto found = exchanges_.find(answer.ticket);
+    if (found == exchanges_.end()) continue;
+    const std::shared_ptr<Exchange> exchange = found->second;
+    exchange->OnStreamLookup(answer);
+  }
+}
+
 std::uint32_t Forwarder::CountServers(const std::string& service) const {
   return static_cast<std::uint32_t>(
       std::count_if(servers_.begin(), servers_.end(),
@@ -350,6 +368,7 @@
   }
   pool_.CloseExpired(now);
   crash_guard_.Expire(now);
+  stream_versions_.Expire(now);
 }
 
 }  // namespace briarwood::forwarding::impl
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -49,6 +49,11 @@
 constexpr milliseconds kEvidenceCallTimeout{400};
 /// Limits the commands of an entry while many attempts fail.
 constexpr milliseconds kMinEvidenceInterval{100};
+/// Bounds the commands of the fleet that record streams: an entry sends at most one in this time,
+/// or in one millisecond for each entry if that is longer. The starts of this time are lost if the
+/// entry ends.
+constexpr milliseconds kMinStreamBatchInterval{50};
+constexpr milliseconds kStreamBatchTimeout{800};
 /// The entry counts as connected to the control members if the leader has confirmed the state of
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
@@ -97,6 +102,11 @@
                             .ca_file = {},
                             .call_timeout = kEvidenceCallTimeout},
                            1),
+        stream_proposer_({.members = ToVector(options_.settings.control_rpc()),
+                          .credential = options_.credential,
+                          .ca_file = {},
+                          .call_timeout = kEvidenceCallTimeout},
+                         1),
         sync_client_({.parents = distribution::OrderParents(
                           options_.settings.node().id(), ToVector(options_.settings.control_rpc())),
                       .credential = options_.credential,
@@ -215,6 +225,7 @@
     row_subscription_ = {};
     if (list_thread_.joinable()) list_thread_.join();
     evidence_proposer_.Stop();
+    stream_proposer_.Stop();
   }
 
   void RunLoop() {
@@ -280,6 +291,7 @@
     UpdateReady();
     ReportEvidence(now);
     RequestTrial(now);
+    SendStreamBatch(now);
     if (now - last_usage_transfer_at_ < usage_report_period_) return;
     last_usage_transfer_at_ = now;
     TransferUsage();
@@ -372,6 +384,28 @@
         });
   }
 
+  void SendStreamBatch(common::Time now) {
+    if (stream_batch_in_flight_ || now - last_stream_batch_at_ < stream_batch_interval_) return;
+    const auto batch = forwarder_.stream_versions().TakeBatch();
+    if (!batch) return;
+    stream_batch_in_flight_ = true;
+    last_stream_batch_at_ = now;
+    schema::Command command;
+    *command.mutable_record_streams() = *batch;
+    command.mutable_record_streams()->set_now_unix_ms(proposals::WallClockMillis());
+    stream_proposer_.Propose(std::move(command), now + kStreamBatchTimeout,
+                             [this, batch = *batch](const schema::ProposeResponse& response) {
+                               boost::asio::post(loop_, [this, batch, response] {
+                                 stream_batch_in_flight_ = false;
+                                 if (response.status() == schema::ProposeResponse::STATUS_APPLIED) {
+                                   forwarder_.OnStreamBatchApplied(response.result());
+                                 } else {
+                                   forwarder_.stream_versions().OnBatchFailed(batch);
+                                 }
+                               });
+                             });
+  }
+
   void RequestTrial(common::Time now) {
     if (trial_in_flight_) return;
     const std::vector<std::string> parts = forwarder_.crash_guard().TakeWantedTrial();
@@ -504,6 +538,7 @@
       if (response.entry_index_plus_one() != 0) index = response.entry_index_plus_one() - 1;
       boost::asio::post(loop_, [this, now, period, index, entries = response.entry_count()] {
         usage_report_period_ = period;
+        stream_batch_interval_ = std::max(kMinStreamBatchInterval, milliseconds(entries));
         forwarder_.SetEntries(entries, index, now);
       });
     }
@@ -536,6 +571,7 @@
     sync_client_.SetParents(parents);
     reporter_.SetMembers(parents);
     evidence_proposer_.SetMembers(parents);
+    stream_proposer_.SetMembers(parents);
   }
 
   void ApplyList(const schema::BackendList& list, common::Time read_at, std::string_view source) {
@@ -598,6 +634,8 @@
   proposals::UsageReporter reporter_;
   /// Reports evidence against properties of requests and requests trials.
   proposals::BackgroundProposer evidence_proposer_;
+  /// Records the starts of streams and asks about those of other entries.
+  proposals::BackgroundProposer stream_proposer_;
   distribution::Replica replica_;
   distribution::SyncClient sync_client_;
   rpc::Server rpc_server_;
@@ -614,6 +652,9 @@
   bool evidence_in_flight_ = false;
   common::Time last_evidence_at_;
   bool trial_in_flight_ = false;
+  bool stream_batch_in_flight_ = false;
+  common::Time last_stream_batch_at_;
+  milliseconds stream_batch_interval_ = kMinStreamBatchInterval;
   std::uint64_t trial_sequence_ = 0;
   /// Used on the thread that applies sync responses.
   bool has_table_ = false;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -66,6 +66,8 @@
   void OnDropped(routing::DropReason reason);
   /// Called when the first configuration with forwarding is active.
   void OnConfiguration();
+  /// Called when the control members have answered where the stream began that the request resumes.
+  void OnStreamLookup(const routing::StreamLookupAnswer& answer);
   /// Ends a hold, a stalled attempt or the request itself when its time has run out.
   void CheckTimeouts(common::Time now);
   /// Ends the request because the process stops. The caller gets a response unless its response has
@@ -76,6 +78,8 @@
   enum class State : std::uint8_t {
     /// Until the first configuration with forwarding is active.
     kHeld,
+    /// Until the control members answer where the resumed stream began.
+    kLookUp,
     kQueued,
     kRunning,
     /// Until the next attempt may be queued.
@@ -88,8 +92,27 @@
   void Hold();
   /// \returns true if the request may be queued; otherwise it is held or has been rejected.
   bool Admit();
+  /// Queues the request, after finding out where the stream began that it resumes.
+  void Proceed();
   void Queue();
+  /// \param deadline  latest time for the end of the wait in the queue
+  [[nodiscard]] routing::QueuedRequest MakeQueuedRequest(common::Time deadline) const;
+  [[nodiscard]] routing::Capability Capability() const;
   [[nodiscard]] routing::ClassPolicy Policy() const;
+  /// \returns the class of the queue. Requests that require a software version have one of their
+  ///   own, so that those without a free server hold up no others.
+  [[nodiscard]] routing::ClassPolicy QueuePolicy() const;
+
+  // A stream goes on only at the software version that began it, see streams.cc.
+
+  [[nodiscard]] bool ResumesStream() const;
+  /// Queues the request for the version at which its stream began, or rejects it if no server of
+  /// that version takes requests.
+  void Resume(const routing::StreamOrigin& origin);
+  /// Fixes the version at the first event that is delivered.
+  void PinVersion();
+  /// True if a server can go on with the stream, or probably soon can.
+  [[nodiscard]] bool HasServerToGoOn() const;
   /// \returns the maximum number of output tokens, or else the caller's estimate; 0 if unknown.
   [[nodiscard]] std::uint64_t ExpectedOutput() const;
   /// True unless the process stops and the response would probably be cut.
@@ -231,6 +254,9 @@
   std::chrono::milliseconds replacement_interval_;
   /// Backend servers to which the request was sent.
   std::set<common::BackendServerId> sent_to_;
+  /// Software version that the stream requires, once it has begun.
+  std::optional<std::string> pinned_version_;
+  common::Time look_up_until_;
   /// Backend servers that may have run the request.
   std::set<common::BackendServerId> may_have_run_on_;
   common::BackendServerId last_backend_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -25,6 +25,7 @@
 #include "briarwood/routing/response_time_estimator.h"
 #include "briarwood/routing/scheduler.h"
 #include "briarwood/routing/service_retry_budget.h"
+#include "briarwood/routing/stream_versions.h"
 #include "fleet.pb.h"
 #include "forwarding/impl/connection_pool.h"
 
@@ -65,6 +66,10 @@
   void SetCrashEvidence(const std::vector<schema::PromptPart>& rows);
   [[nodiscard]] routing::PromptPartGuard& crash_guard() noexcept { return crash_guard_; }
 
+  [[nodiscard]] routing::StreamVersions& stream_versions() noexcept { return stream_versions_; }
+  /// Passes the answers of the control members on to the requests that wait for them.
+  void OnStreamBatchApplied(const schema::CommandResult& result);
+
   /// From now on, rejects new requests before any backend server receives them. Requests in
   /// progress continue.
   void RejectNew() noexcept { rejecting_new_ = true; }
@@ -131,6 +136,8 @@
   [[nodiscard]] std::string LifetimeOf(const common::BackendServerId& id) const;
   /// \returns the software version of a backend server; empty if the list states none.
   [[nodiscard]] std::string VersionOf(const common::BackendServerId& id) const;
+  /// \returns the software versions of the listed servers of a service.
+  [[nodiscard]] std::set<std::string> VersionsOf(const std::string& service) const;
   /// Tells the guard which server processes have ended without having been announced as leaving.
   void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
   void LogPromptLimit(const std::string& service, ServiceState& state);
@@ -155,6 +162,7 @@
   routing::PromptPartGuard crash_guard_;
   /// Held properties in the last rows of the control members.
   std::set<std::string> held_properties_;
+  routing::StreamVersions stream_versions_;
   ConnectionPool pool_;
   std::map<std::string, ServiceState> services_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -53,7 +53,7 @@
   const common::Tier tier = attempt_->tier;
   if (work > 1 && !owner_.StateOf(service_).prompts.Admits(work, tier)) return;
   owner_.placement_.Refresh(now);
-  const auto choice = owner_.placement_.Pick({.capability = {.service = service_},
+  const auto choice = owner_.placement_.Pick({.capability = Capability(),
                                               .tier = tier,
                                               .prefix_hash = PrefixHash(),
                                               .work = work,
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -44,6 +44,7 @@
   if (!server.takes_requests || server.model != wanted.model || server.service != wanted.service) {
     return false;
   }
+  if (wanted.software_version && server.software_version != *wanted.software_version) return false;
   if (!wanted.model_version.empty() && server.model_version != wanted.model_version) return false;
   return wanted.adapter.empty() || std::find(server.adapters.begin(), server.adapters.end(),
                                              wanted.adapter) != server.adapters.end();
@@ -497,6 +498,14 @@
   return found == index_.end() ? 0 : servers_[found->second].own_in_flight;
 }
 
+bool Placement::HasServer(const Capability& capability,
+                          const std::set<common::BackendServerId>& except) {
+  const Pool& pool = PoolOf(capability);
+  return std::any_of(pool.members.begin(), pool.members.end(), [&](std::uint32_t member) {
+    return IsInService(servers_[member]) && !except.contains(servers_[member].description.id);
+  });
+}
+
 std::size_t Placement::SubsetSize(const Capability& capability) {
   return PoolOf(capability).members.size();
 }
