Rename the guard of prompt parts after the properties of requests that it holds

It holds back requests by any property that later ones share, so the names of the guard, its table, schema messages and administration calls say so. GET and DELETE of /v1/prompt-parts are /v1/crash-evidence now, and briarwoodctl prompt-part is briarwoodctl crash-evidence. No logic changes.

Measured: the tests of routing, control, cli and mutation pass.

--- a/include/briarwood/control/control_state.h
+++ b/include/briarwood/control/control_state.h
@@ -17,7 +17,7 @@
 #include "briarwood/control/stream_version_table.h"
 #include "briarwood/control/suspect_registry.h"
 #include "briarwood/distribution/row_table.h"
-#include "briarwood/routing/prompt_part_table.h"
+#include "briarwood/routing/crash_evidence_table.h"
 #include "briarwood/usage/usage_windows.h"
 #include "control.pb.h"
 #include "state.pb.h"
@@ -59,8 +59,8 @@
   [[nodiscard]] const OperatorRecords& records() const noexcept { return records_; }
   [[nodiscard]] const ClaimTable& claims() const noexcept { return claims_; }
   [[nodiscard]] const usage::UsageWindows& usage() const noexcept { return usage_; }
-  [[nodiscard]] const routing::PromptPartTable& prompt_parts() const noexcept {
-    return prompt_parts_;
+  [[nodiscard]] const routing::CrashEvidenceTable& crash_evidence() const noexcept {
+    return crash_evidence_;
   }
   [[nodiscard]] std::vector<KeyInfo> Keys() const;
 
@@ -79,13 +79,13 @@
   schema::CommandResult Drain(const schema::DrainBackend& command, common::LogIndex index);
   schema::CommandResult DeclareDead(const schema::DeclareDead& command, common::LogIndex index);
   schema::CommandResult RecordAction(const schema::RecordAction& command, common::LogIndex index);
-  schema::CommandResult RecordPartEvidence(const schema::RecordPartEvidence& command,
-                                           common::LogIndex index);
+  schema::CommandResult RecordCrashEvidence(const schema::RecordCrashEvidence& command,
+                                            common::LogIndex index);
   schema::CommandResult RecordStreams(const schema::RecordStreams& command, common::LogIndex index);
-  schema::CommandResult BeginPartTrial(const schema::BeginPartTrial& command,
-                                       common::LogIndex index);
-  schema::CommandResult ClearPromptPart(const schema::ClearPromptPart& command,
-                                        common::LogIndex index);
+  schema::CommandResult BeginPropertyTrial(const schema::BeginPropertyTrial& command,
+                                           common::LogIndex index);
+  schema::CommandResult ClearCrashEvidence(const schema::ClearCrashEvidence& command,
+                                           common::LogIndex index);
   /// Applies an operator's command unless its operation id was used before, and records it.
   template <typename Message, typename Function>
   schema::CommandResult ApplyOnce(const Message& command, const std::string& action,
@@ -98,7 +98,7 @@
   [[nodiscard]] Problems CheckKeyOwners(const schema::Configuration& merged) const;
   void PublishConfiguration(common::LogIndex index);
   void PublishSuspects(common::LogIndex index);
-  void PublishPromptParts(common::LogIndex index);
+  void PublishCrashEvidence(common::LogIndex index);
 
   distribution::RowTable table_;
   Documents documents_;
@@ -106,7 +106,7 @@
   ClaimTable claims_;
   SuspectRegistry suspects_;
   StreamVersionTable stream_versions_;
-  routing::PromptPartTable prompt_parts_;
+  routing::CrashEvidenceTable crash_evidence_;
   OrderTable orders_;
   usage::UsageWindows usage_;
   common::LogIndex applied_index_;
--- a/include/briarwood/distribution/replica.h
+++ b/include/briarwood/distribution/replica.h
@@ -84,7 +84,7 @@
   [[nodiscard]] std::vector<common::BackendServerId> Draining() const;
   /// \returns the suspects by fingerprint in hex, high half first.
   [[nodiscard]] std::map<std::string, schema::SuspectRow> Suspects() const;
-  [[nodiscard]] std::vector<schema::PromptPart> PromptParts() const;
+  [[nodiscard]] std::vector<schema::CrashEvidence> CrashEvidence() const;
   [[nodiscard]] std::vector<common::Incarnation> DeadIncarnations() const;
 
   [[nodiscard]] Subscription Subscribe(Callback callback);
--- a/src/cli/ctl_commands.cc
+++ b/src/cli/ctl_commands.cc
@@ -32,8 +32,8 @@
     RunKeyCommand(command);
   } else if (group == "backend") {
     RunBackendCommand(command);
-  } else if (group == "prompt-part") {
-    RunPromptPartCommand(command);
+  } else if (group == "crash-evidence") {
+    RunCrashEvidenceCommand(command);
   } else if (group == "member") {
     RunMemberCommand(command);
   } else if (group == "vm" && command == "list") {
@@ -78,10 +78,10 @@
   ThrowUnknownCommand("backend " + command);
 }
 
-void CtlCommands::RunPromptPartCommand(const std::string& command) {
-  if (command == "list") return ListPromptParts();
-  if (command == "clear") return ClearPromptPart();
-  ThrowUnknownCommand("prompt-part " + command);
+void CtlCommands::RunCrashEvidenceCommand(const std::string& command) {
+  if (command == "list") return ListCrashEvidence();
+  if (command == "clear") return ClearCrashEvidence();
+  ThrowUnknownCommand("crash-evidence " + command);
 }
 
 void CtlCommands::RunMemberCommand(const std::string& command) {
@@ -323,30 +323,30 @@
   WaitInForce(response.index());
 }
 
-void CtlCommands::ListPromptParts() {
-  schema::ListPromptPartsResponse response;
-  const std::string json = client_.Call("GET", "/v1/prompt-parts", nullptr, response);
-  Table table({"PROMPT PART", "HELD", "CRASHES", "LAST CRASH", "NEXT TRIAL", "BACKEND SERVERS"});
-  for (const schema::PromptPart& part : response.prompt_parts()) {
+void CtlCommands::ListCrashEvidence() {
+  schema::ListCrashEvidenceResponse response;
+  const std::string json = client_.Call("GET", "/v1/crash-evidence", nullptr, response);
+  Table table({"PROPERTY", "HELD", "CRASHES", "LAST CRASH", "NEXT TRIAL", "BACKEND SERVERS"});
+  for (const schema::CrashEvidence& evidence : response.crash_evidence()) {
     std::string servers;
-    for (const std::string& server : part.backend_servers()) {
+    for (const std::string& server : evidence.backend_servers()) {
       servers += (servers.empty() ? "" : ",") + server;
     }
-    table.Add({part.part(), YesNo(part.held()), Number(part.crashes()),
-               FormatTime(part.last_crash_unix_ms()),
-               part.held() ? FormatTime(part.next_trial_unix_ms()) : "-", servers});
+    table.Add({evidence.property(), YesNo(evidence.held()), Number(evidence.crashes()),
+               FormatTime(evidence.last_crash_unix_ms()),
+               evidence.held() ? FormatTime(evidence.next_trial_unix_ms()) : "-", servers});
   }
   Print(json, table.ToString());
 }
 
-void CtlCommands::ClearPromptPart() {
-  const std::string& part = Argument(2, "a prompt part");
-  schema::ClearPromptPartRequest request;
+void CtlCommands::ClearCrashEvidence() {
+  const std::string& property = Argument(2, "a property");
+  schema::ClearCrashEvidenceRequest request;
   request.set_operation_id(OperationId());
   schema::OperationResponse response;
-  Send("--operation-id " + request.operation_id(), "DELETE", "/v1/prompt-parts/" + EncodeUrl(part),
-       &request, response);
-  Print(json_, part + " is cleared at index " + Number(response.index()) + "\n");
+  Send("--operation-id " + request.operation_id(), "DELETE",
+       "/v1/crash-evidence/" + EncodeUrl(property), &request, response);
+  Print(json_, property + " is cleared at index " + Number(response.index()) + "\n");
   WaitInForce(response.index());
 }
 
--- a/src/cli/ctl_options.cc
+++ b/src/cli/ctl_options.cc
@@ -28,7 +28,7 @@
   vm list | backend list | member list | order list | audit
   usage list | usage show WINDOW
   backend drain ID | backend undrain ID
-  prompt-part list | prompt-part clear PART
+  crash-evidence list | crash-evidence clear PROPERTY
   member add ID RPC_ADDRESS      join as a learner
   member promote ID              make a learner that is up to date a voter
   member remove ID
--- a/src/cli/impl/ctl_commands.h
+++ b/src/cli/impl/ctl_commands.h
@@ -24,7 +24,7 @@
   void RunDocumentCommand(const std::string& command);
   void RunKeyCommand(const std::string& command);
   void RunBackendCommand(const std::string& command);
-  void RunPromptPartCommand(const std::string& command);
+  void RunCrashEvidenceCommand(const std::string& command);
   void RunMemberCommand(const std::string& command);
 
   void Apply();
@@ -39,8 +39,8 @@
   void ListVms();
   void ListBackendServers();
   void Drain(const std::string& action);
-  void ListPromptParts();
-  void ClearPromptPart();
+  void ListCrashEvidence();
+  void ClearCrashEvidence();
   void AddMember();
   void ReplaceMember();
   void ChangeMember(const std::string& method, const std::string& suffix);
--- a/src/control/admin_calls.cc
+++ b/src/control/admin_calls.cc
@@ -144,7 +144,7 @@
   if (name == "documents") return RunDocuments(call);
   if (name == "keys") return RunKeys(call);
   if (name == "backend-servers") return RunBackendServers(call);
-  if (name == "prompt-parts") return RunPromptParts(call);
+  if (name == "crash-evidence") return RunCrashEvidence(call);
   if (name == "members") return RunMembers(call);
   if (name == "usage") return RunUsage(call);
   if (list && name == "vms") return ListVms(call);
@@ -300,19 +300,20 @@
   ThrowUnknownCall(call);
 }
 
-std::string AdminCalls::RunPromptParts(const AdminCall& call) {
-  if (call.path.size() == 1 && call.method == "GET") return ListPromptParts();
-  if (call.path.size() == 2 && call.method == "DELETE") return ClearPromptPart(call.path[1], call);
+std::string AdminCalls::RunCrashEvidence(const AdminCall& call) {
+  if (call.path.size() == 1 && call.method == "GET") return ListCrashEvidence();
+  if (call.path.size() == 2 && call.method == "DELETE")
+    return ClearCrashEvidence(call.path[1], call);
   ThrowUnknownCall(call);
 }
 
-std::string AdminCalls::ClearPromptPart(const std::string& part, const AdminCall& call) {
-  schema::ClearPromptPartRequest request;
+std::string AdminCalls::ClearCrashEvidence(const std::string& part, const AdminCall& call) {
+  schema::ClearCrashEvidenceRequest request;
   FromJson(call.body, request);
   RequireOperationId(request.operation_id());
   schema::Command command;
-  schema::ClearPromptPart& clear = *command.mutable_clear_prompt_part();
-  clear.set_part(part);
+  schema::ClearCrashEvidence& clear = *command.mutable_clear_crash_evidence();
+  clear.set_property(part);
   clear.set_operation_id(request.operation_id());
   clear.set_operator_name(call.operator_name);
   return OperationResult(request.operation_id(), Commit(command));
--- a/src/control/admin_views.cc
+++ b/src/control/admin_views.cc
@@ -120,11 +120,11 @@
   return ToJson(response);
 }
 
-std::string AdminCalls::ListPromptParts() const {
-  schema::ListPromptPartsResponse response;
+std::string AdminCalls::ListCrashEvidence() const {
+  schema::ListCrashEvidenceResponse response;
   backend_.ReadState([&](const ControlState& state) {
-    for (const auto& [part, evidence] : state.prompt_parts().parts()) {
-      *response.add_prompt_parts() = evidence;
+    for (const auto& [part, evidence] : state.crash_evidence().properties()) {
+      *response.add_crash_evidence() = evidence;
     }
   });
   return ToJson(response);
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -63,12 +63,12 @@
       return function(*command.mutable_declare_dead());
     case schema::Command::kRecordAction:
       return function(*command.mutable_record_action());
-    case schema::Command::kRecordPartEvidence:
-      return function(*command.mutable_record_part_evidence());
-    case schema::Command::kBeginPartTrial:
-      return function(*command.mutable_begin_part_trial());
-    case schema::Command::kClearPromptPart:
-      return function(*command.mutable_clear_prompt_part());
+    case schema::Command::kRecordCrashEvidence:
+      return function(*command.mutable_record_crash_evidence());
+    case schema::Command::kBeginPropertyTrial:
+      return function(*command.mutable_begin_property_trial());
+    case schema::Command::kClearCrashEvidence:
+      return function(*command.mutable_clear_crash_evidence());
     case schema::Command::kRecordStreams:
       return function(*command.mutable_record_streams());
     case schema::Command::kRecordReceipt:
@@ -106,7 +106,7 @@
   AdvanceClock(Timestamp(command));
   schema::CommandResult result = Dispatch(index, command);
   PublishSuspects(index);
-  PublishPromptParts(index);
+  PublishCrashEvidence(index);
   table_.TrimTombstones(kMaxTombstones);
   return result;
 }
@@ -116,7 +116,7 @@
   clock_unix_ms_ = now_unix_ms;
   claims_.Expire(clock_unix_ms_);
   suspects_.Expire(clock_unix_ms_);
-  prompt_parts_.Expire(clock_unix_ms_);
+  crash_evidence_.Expire(clock_unix_ms_);
   stream_versions_.Expire(clock_unix_ms_);
 }
 
@@ -155,12 +155,12 @@
       return DeclareDead(command.declare_dead(), index);
     case schema::Command::kRecordAction:
       return RecordAction(command.record_action(), index);
-    case schema::Command::kRecordPartEvidence:
-      return RecordPartEvidence(command.record_part_evidence(), index);
-    case schema::Command::kBeginPartTrial:
-      return BeginPartTrial(command.begin_part_trial(), index);
-    case schema::Command::kClearPromptPart:
-      return ClearPromptPart(command.clear_prompt_part(), index);
+    case schema::Command::kRecordCrashEvidence:
+      return RecordCrashEvidence(command.record_crash_evidence(), index);
+    case schema::Command::kBeginPropertyTrial:
+      return BeginPropertyTrial(command.begin_property_trial(), index);
+    case schema::Command::kClearCrashEvidence:
+      return ClearCrashEvidence(command.clear_crash_evidence(), index);
     case schema::Command::kRecordStreams:
       return RecordStreams(command.record_streams(), index);
     default:
@@ -327,14 +327,14 @@
   return impl::Ok(index);
 }
 
-schema::CommandResult ControlState::RecordPartEvidence(const schema::RecordPartEvidence& command,
-                                                       common::LogIndex index) {
-  for (schema::PromptPartCrash crash : command.crashes()) {
+schema::CommandResult ControlState::RecordCrashEvidence(const schema::RecordCrashEvidence& command,
+                                                        common::LogIndex index) {
+  for (schema::PropertyCrash crash : command.crashes()) {
     // A crash in the future would rule out that later ones count.
     crash.set_ended_unix_ms(std::min(crash.ended_unix_ms(), clock_unix_ms_));
-    prompt_parts_.RecordCrash(crash);
+    crash_evidence_.RecordCrash(crash);
   }
-  for (const std::string& part : command.sound_parts()) prompt_parts_.Clear(part);
+  for (const std::string& property : command.sound_properties()) crash_evidence_.Clear(property);
   return impl::Ok(index);
 }
 
@@ -350,32 +350,32 @@
   return result;
 }
 
-schema::CommandResult ControlState::BeginPartTrial(const schema::BeginPartTrial& command,
-                                                   common::LogIndex index) {
-  if (prompt_parts_.BeginTrial(command, clock_unix_ms_) == routing::PromptPartTrial::kGranted) {
+schema::CommandResult ControlState::BeginPropertyTrial(const schema::BeginPropertyTrial& command,
+                                                       common::LogIndex index) {
+  if (crash_evidence_.BeginTrial(command, clock_unix_ms_) == routing::PropertyTrial::kGranted) {
     return impl::Ok(index);
   }
   return MakeResult(schema::RESULT_CODE_REFUSED, index, "no trial is due");
 }
 
-schema::CommandResult ControlState::ClearPromptPart(const schema::ClearPromptPart& command,
-                                                    common::LogIndex index) {
-  return ApplyOnce(command, "clear_prompt_part", command.part(), index, [&] {
-    if (!prompt_parts_.Clear(command.part())) {
+schema::CommandResult ControlState::ClearCrashEvidence(const schema::ClearCrashEvidence& command,
+                                                       common::LogIndex index) {
+  return ApplyOnce(command, "clear_crash_evidence", command.property(), index, [&] {
+    if (!crash_evidence_.Clear(command.property())) {
       return MakeResult(schema::RESULT_CODE_NOT_FOUND, index,
-                        "no evidence against prompt part \"" + command.part() + "\"");
+                        "no evidence against property \"" + command.property() + "\"");
     }
     return impl::Ok(index);
   });
 }
 
-void ControlState::PublishPromptParts(common::LogIndex index) {
-  for (const std::string& part : prompt_parts_.TakeChanged()) {
-    const schema::PromptPart* evidence = prompt_parts_.Find(part);
+void ControlState::PublishCrashEvidence(common::LogIndex index) {
+  for (const std::string& property : crash_evidence_.TakeChanged()) {
+    const schema::CrashEvidence* evidence = crash_evidence_.Find(property);
     if (evidence == nullptr) {
-      table_.Erase(schema::ROW_KIND_PROMPT_PART, part, index);
+      table_.Erase(schema::ROW_KIND_CRASH_EVIDENCE, property, index);
     } else {
-      table_.Put(schema::ROW_KIND_PROMPT_PART, part, evidence->SerializeAsString(), index);
+      table_.Put(schema::ROW_KIND_CRASH_EVIDENCE, property, evidence->SerializeAsString(), index);
     }
   }
 }
@@ -426,7 +426,7 @@
   records_.Save(snapshot);
   claims_.Save(*snapshot.mutable_claims());
   *snapshot.mutable_suspects() = suspects_.Save();
-  *snapshot.mutable_prompt_parts() = prompt_parts_.Save();
+  *snapshot.mutable_crash_evidence() = crash_evidence_.Save();
   *snapshot.mutable_stream_versions() = stream_versions_.Save();
   *snapshot.mutable_orders() = orders_.Save();
   snapshot.set_usage(usage_.Serialize().SerializeAsString());
@@ -449,7 +449,7 @@
   state.records_.Restore(snapshot);
   state.claims_.Restore(snapshot.claims());
   state.suspects_.Restore(snapshot.suspects());
-  state.prompt_parts_.Restore(snapshot.prompt_parts());
+  state.crash_evidence_.Restore(snapshot.crash_evidence());
   state.stream_versions_.Restore(snapshot.stream_versions());
   state.orders_.Restore(snapshot.orders());
   schema::UsageSnapshot usage;
--- a/src/control/impl/admin_calls.h
+++ b/src/control/impl/admin_calls.h
@@ -38,7 +38,7 @@
   std::string RunDocuments(const AdminCall& call);
   std::string RunKeys(const AdminCall& call);
   std::string RunBackendServers(const AdminCall& call);
-  std::string RunPromptParts(const AdminCall& call);
+  std::string RunCrashEvidence(const AdminCall& call);
   std::string RunMembers(const AdminCall& call);
   std::string RunUsage(const AdminCall& call);
 
@@ -56,8 +56,8 @@
   [[nodiscard]] std::string ListVms(const AdminCall& call) const;
   [[nodiscard]] std::string ListBackendServers() const;
   [[nodiscard]] std::string Drain(const std::string& id, bool draining, const AdminCall& call);
-  [[nodiscard]] std::string ListPromptParts() const;
-  [[nodiscard]] std::string ClearPromptPart(const std::string& part, const AdminCall& call);
+  [[nodiscard]] std::string ListCrashEvidence() const;
+  [[nodiscard]] std::string ClearCrashEvidence(const std::string& part, const AdminCall& call);
   [[nodiscard]] std::string AddMember(const AdminCall& call);
   [[nodiscard]] std::string ReplaceMember(std::uint64_t replaced, const AdminCall& call);
   [[nodiscard]] std::string PromoteMember(std::uint64_t id, const AdminCall& call);
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -171,8 +171,8 @@
   return suspects;
 }
 
-std::vector<schema::PromptPart> Replica::PromptParts() const {
-  return ReadAll<schema::PromptPart>(schema::ROW_KIND_PROMPT_PART);
+std::vector<schema::CrashEvidence> Replica::CrashEvidence() const {
+  return ReadAll<schema::CrashEvidence>(schema::ROW_KIND_CRASH_EVIDENCE);
 }
 
 std::vector<common::Incarnation> Replica::DeadIncarnations() const {
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -457,22 +457,23 @@
 
 bool Exchange::CheckCrashProperties() {
   if (is_trial_) return true;
-  const routing::PromptVerdict verdict =
+  const routing::RequestVerdict verdict =
       owner_.crash_guard_.Check(crash_properties_, common::BootClock::now());
-  if (std::holds_alternative<routing::PromptTrial>(verdict)) {
+  if (std::holds_alternative<routing::RequestTrial>(verdict)) {
     is_trial_ = true;
-    owner_.log_.Info(LogLine("crash_property_trial")
-                         .Add("request", facts_.id)
-                         .Add("property", std::get<routing::PromptTrial>(verdict).parts.front())
-                         .text());
+    owner_.log_.Info(
+        LogLine("crash_property_trial")
+            .Add("request", facts_.id)
+            .Add("property", std::get<routing::RequestTrial>(verdict).properties.front())
+            .text());
     owner_.metrics_.CountEvent("crash_property_trial");
     return true;
   }
-  const auto* held = std::get_if<routing::PromptHeld>(&verdict);
+  const auto* held = std::get_if<routing::RequestHeld>(&verdict);
   if (held == nullptr) return true;
   owner_.log_.Info(LogLine("request_held")
                        .Add("request", facts_.id)
-                       .Add("property", held->evidence.part())
+                       .Add("property", held->evidence.property())
                        .Add("crashes", held->evidence.crashes())
                        .text());
   if (response_started_ || !may_have_run_on_.empty()) {
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -234,18 +234,18 @@
                     [&](const auto& item) { return item.second.service == service; }));
 }
 
-void Forwarder::SetCrashEvidence(const std::vector<schema::PromptPart>& rows) {
+void Forwarder::SetCrashEvidence(const std::vector<schema::CrashEvidence>& rows) {
   std::set<std::string> held;
-  for (const schema::PromptPart& row : rows) {
+  for (const schema::CrashEvidence& row : rows) {
     if (!row.held()) continue;
-    held.insert(row.part());
-    if (held_properties_.contains(row.part())) continue;
+    held.insert(row.property());
+    if (held_properties_.contains(row.property())) continue;
     std::string servers;
     for (const std::string& server : row.backend_servers()) {
       servers += (servers.empty() ? "" : ",") + server;
     }
     log_.Warn(LogLine("crash_property_held")
-                  .Add("property", row.part())
+                  .Add("property", row.property())
                   .Add("crashes", row.crashes())
                   .Add("servers", servers)
                   .Add("next_trial_unix_ms", row.next_trial_unix_ms())
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -372,7 +372,7 @@
     last_evidence_at_ = now;
     evidence->set_now_unix_ms(proposals::WallClockMillis());
     schema::Command command;
-    *command.mutable_record_part_evidence() = *evidence;
+    *command.mutable_record_crash_evidence() = *evidence;
     evidence_proposer_.Propose(
         std::move(command), now + kEvidenceTimeout,
         [this, evidence = *evidence](const schema::ProposeResponse& response) {
@@ -412,8 +412,8 @@
     if (parts.empty()) return;
     trial_in_flight_ = true;
     schema::Command command;
-    schema::BeginPartTrial& trial = *command.mutable_begin_part_trial();
-    trial.mutable_parts()->Add(parts.begin(), parts.end());
+    schema::BeginPropertyTrial& trial = *command.mutable_begin_property_trial();
+    trial.mutable_properties()->Add(parts.begin(), parts.end());
     trial.set_entry_incarnation(options_.incarnation.value());
     trial.set_sequence(++trial_sequence_);
     trial.set_now_unix_ms(proposals::WallClockMillis());
@@ -432,18 +432,18 @@
   void OnChanged(const std::vector<distribution::RowTable::RowKey>& changed) {
     if (!replica_.freshness()) return;
     const auto is_prompt_part = [](const distribution::RowTable::RowKey& key) {
-      return key.first == schema::ROW_KIND_PROMPT_PART;
+      return key.first == schema::ROW_KIND_CRASH_EVIDENCE;
     };
     if (has_table_ && std::all_of(changed.begin(), changed.end(), is_prompt_part)) {
-      ApplyPromptParts();
+      ApplyCrashEvidence();
     } else {
       OnRows();
     }
   }
 
-  void ApplyPromptParts() {
-    boost::asio::post(loop_,
-                      [this, rows = replica_.PromptParts()] { forwarder_.SetCrashEvidence(rows); });
+  void ApplyCrashEvidence() {
+    boost::asio::post(
+        loop_, [this, rows = replica_.CrashEvidence()] { forwarder_.SetCrashEvidence(rows); });
   }
 
   /// Runs on the thread that applies sync responses. No response is applied meanwhile, so all rows
@@ -453,7 +453,7 @@
   void OnRows() {
     if (!replica_.freshness()) return;
     has_table_ = true;
-    ApplyPromptParts();
+    ApplyCrashEvidence();
     auto table = std::make_shared<const routing::ForwardTable>(
         routing::ForwardConfiguration{.routes = replica_.ForwardRoutes(),
                                       .services = replica_.Services(),
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -16,12 +16,12 @@
 #include "briarwood/http/incoming.h"
 #include "briarwood/observability/log.h"
 #include "briarwood/observability/metrics.h"
+#include "briarwood/routing/crash_guard.h"
 #include "briarwood/routing/crash_properties.h"
 #include "briarwood/routing/dispatch.h"
 #include "briarwood/routing/forward_table.h"
 #include "briarwood/routing/placement.h"
 #include "briarwood/routing/prompt_limiter.h"
-#include "briarwood/routing/prompt_part_guard.h"
 #include "briarwood/routing/response_time_estimator.h"
 #include "briarwood/routing/scheduler.h"
 #include "briarwood/routing/service_retry_budget.h"
@@ -63,8 +63,8 @@
   void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
   /// Replaces the fleet's evidence against properties of requests.
-  void SetCrashEvidence(const std::vector<schema::PromptPart>& rows);
-  [[nodiscard]] routing::PromptPartGuard& crash_guard() noexcept { return crash_guard_; }
+  void SetCrashEvidence(const std::vector<schema::CrashEvidence>& rows);
+  [[nodiscard]] routing::CrashGuard& crash_guard() noexcept { return crash_guard_; }
 
   [[nodiscard]] routing::StreamVersions& stream_versions() noexcept { return stream_versions_; }
   /// Passes the answers of the control members on to the requests that wait for them.
@@ -159,7 +159,7 @@
   common::Time peak_entries_at_;
   routing::Placement placement_;
   routing::ServiceRetryBudget retry_budget_;
-  routing::PromptPartGuard crash_guard_;
+  routing::CrashGuard crash_guard_;
   /// Held properties in the last rows of the control members.
   std::set<std::string> held_properties_;
   routing::StreamVersions stream_versions_;
--- a/tests/cli/briarwoodctl_test.cc
+++ b/tests/cli/briarwoodctl_test.cc
@@ -94,9 +94,9 @@
     constexpr std::uint64_t kStart = control::testing_support::FakeAdminBackend::kStartUnixMs;
     for (const std::uint64_t second : {1U, 2U, 3U}) {
       schema::Command command;
-      schema::PromptPartCrash& crash = *command.mutable_record_part_evidence()->add_crashes();
-      crash.add_parts("5c1e07a2");
-      if (second == 3) crash.add_parts("91bd3f06");
+      schema::PropertyCrash& crash = *command.mutable_record_crash_evidence()->add_crashes();
+      crash.add_properties("5c1e07a2");
+      if (second == 3) crash.add_properties("91bd3f06");
       crash.set_backend_server("i-" + std::to_string(second));
       crash.set_backend_servers(8);
       crash.set_sent_unix_ms(kStart + 1000 * second - 200);
@@ -144,7 +144,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Golden, SessionTest,
                          testing::Values("ctl_apply", "ctl_conflict", "ctl_keys", "ctl_drain",
-                                         "ctl_prompt_parts", "ctl_members", "ctl_usage",
+                                         "ctl_crash_evidence", "ctl_members", "ctl_usage",
                                          "ctl_errors"),
                          [](const auto& parameter) { return parameter.param; });
 
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -191,34 +191,34 @@
 schema::Command PartEvidence(const std::vector<std::string>& servers, std::uint64_t ended,
                              const std::vector<std::string>& sound = {}) {
   schema::Command command;
-  schema::RecordPartEvidence& evidence = *command.mutable_record_part_evidence();
+  schema::RecordCrashEvidence& evidence = *command.mutable_record_crash_evidence();
   for (const std::string& server : servers) {
-    schema::PromptPartCrash& crash = *evidence.add_crashes();
-    crash.add_parts("bad");
-    crash.add_parts("shared");
+    schema::PropertyCrash& crash = *evidence.add_crashes();
+    crash.add_properties("bad");
+    crash.add_properties("shared");
     crash.set_backend_server(server);
     crash.set_backend_servers(8);
     crash.set_sent_unix_ms(ended - 500);
     crash.set_ended_unix_ms(ended);
   }
-  for (const std::string& part : sound) evidence.add_sound_parts(part);
+  for (const std::string& part : sound) evidence.add_sound_properties(part);
   evidence.set_now_unix_ms(ended);
   return command;
 }
 
 schema::Command PartTrial(std::uint64_t sequence, std::uint64_t now) {
   schema::Command command;
-  command.mutable_begin_part_trial()->add_parts("bad");
-  command.mutable_begin_part_trial()->set_entry_incarnation(1);
-  command.mutable_begin_part_trial()->set_sequence(sequence);
-  command.mutable_begin_part_trial()->set_now_unix_ms(now);
+  command.mutable_begin_property_trial()->add_properties("bad");
+  command.mutable_begin_property_trial()->set_entry_incarnation(1);
+  command.mutable_begin_property_trial()->set_sequence(sequence);
+  command.mutable_begin_property_trial()->set_now_unix_ms(now);
   return command;
 }
 
-std::optional<schema::PromptPart> PublishedPart(const ControlState& state,
-                                                const std::string& part) {
-  const schema::Row* row = state.table().Find(schema::ROW_KIND_PROMPT_PART, part);
-  schema::PromptPart evidence;
+std::optional<schema::CrashEvidence> PublishedPart(const ControlState& state,
+                                                   const std::string& part) {
+  const schema::Row* row = state.table().Find(schema::ROW_KIND_CRASH_EVIDENCE, part);
+  schema::CrashEvidence evidence;
   if (row == nullptr || !evidence.ParseFromString(row->value())) return std::nullopt;
   return evidence;
 }
@@ -247,15 +247,15 @@
 
 // Guards against an entry whose clock is ahead and whose report keeps all later crashes from
 // counting.
-TEST_F(ControlStateTest, PromptPartCrashIsNotInTheFuture) {
+TEST_F(ControlStateTest, PropertyCrashIsNotInTheFuture) {
   schema::Command command = PartEvidence({"s1"}, 900'000);
-  command.mutable_record_part_evidence()->set_now_unix_ms(10'000);
+  command.mutable_record_crash_evidence()->set_now_unix_ms(10'000);
   EXPECT_EQ(Code(command), schema::RESULT_CODE_OK);
   EXPECT_EQ(PublishedPart(log_.state(), "bad")->last_crash_unix_ms(), 10'000U);
 }
 
 // Guards against rows of expired evidence that stay published.
-TEST_F(ControlStateTest, ExpiredPromptPartIsRemoved) {
+TEST_F(ControlStateTest, ExpiredCrashEvidenceIsRemoved) {
   EXPECT_EQ(Code(PartEvidence({"s1"}, 10'000)), schema::RESULT_CODE_OK);
   EXPECT_EQ(Code(PartTrial(1, 70'000)), schema::RESULT_CODE_OK);
   EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
@@ -266,15 +266,15 @@
 TEST_F(ControlStateTest, OperatorClearsAPromptPart) {
   Code(PartEvidence({"s1"}, 10'000));
   schema::Command clear;
-  clear.mutable_clear_prompt_part()->set_part("bad");
-  clear.mutable_clear_prompt_part()->set_operation_id("op");
-  clear.mutable_clear_prompt_part()->set_operator_name("ann");
+  clear.mutable_clear_crash_evidence()->set_property("bad");
+  clear.mutable_clear_crash_evidence()->set_operation_id("op");
+  clear.mutable_clear_crash_evidence()->set_operator_name("ann");
   EXPECT_EQ(Code(clear), schema::RESULT_CODE_OK);
   EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
   EXPECT_EQ(Code(clear), schema::RESULT_CODE_OK);
-  clear.mutable_clear_prompt_part()->set_operation_id("op2");
+  clear.mutable_clear_crash_evidence()->set_operation_id("op2");
   EXPECT_EQ(Code(clear), schema::RESULT_CODE_NOT_FOUND);
-  EXPECT_EQ(log_.state().records().audit().front().action(), "clear_prompt_part");
+  EXPECT_EQ(log_.state().records().audit().front().action(), "clear_crash_evidence");
   EXPECT_EQ(log_.state().records().audit().front().subject(), "bad");
 }
 
--- a/tests/forwarding/crashing_prompt_part_test.cc
+++ b/tests/forwarding/crashing_prompt_part_test.cc
@@ -91,11 +91,11 @@
     const auto now =
         static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
     schema::Command command;
-    schema::RecordPartEvidence& evidence = *command.mutable_record_part_evidence();
+    schema::RecordCrashEvidence& evidence = *command.mutable_record_crash_evidence();
     evidence.set_now_unix_ms(now);
     for (std::uint64_t i = 3; i > 0; --i) {
-      schema::PromptPartCrash& crash = *evidence.add_crashes();
-      crash.add_parts(part);
+      schema::PropertyCrash& crash = *evidence.add_crashes();
+      crash.add_properties(part);
       crash.set_backend_server("m-earlier-" + std::to_string(i));
       crash.set_backend_servers(8);
       crash.set_ended_unix_ms(now - static_cast<std::uint64_t>(milliseconds(age).count()) -
