Keep evidence of a crash for ten minutes instead of one

HoldsARequestThatComesRarely fails with the former minute. The two tests of the expiry expect the new time, with the same bounds of a second.

--- a/include/briarwood/routing/crash_evidence_table.h
+++ b/include/briarwood/routing/crash_evidence_table.h
@@ -17,7 +17,7 @@
   std::uint32_t held_crashes = 3;
   std::uint32_t min_held_crashes = 2;
   /// Times since the last crash.
-  std::uint64_t candidate_expiry_ms = 60'000;
+  std::uint64_t candidate_expiry_ms = 600'000;
   std::uint64_t held_expiry_ms = 3'600'000;
   std::uint64_t first_trial_delay_ms = 30'000;
   std::uint64_t max_trial_delay_ms = 600'000;
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -257,7 +257,7 @@
 // Guards against rows of expired evidence that stay published.
 TEST_F(ControlStateTest, ExpiredCrashEvidenceIsRemoved) {
   EXPECT_EQ(Code(PartEvidence({"s1"}, 10'000)), schema::RESULT_CODE_OK);
-  EXPECT_EQ(Code(PartTrial(1, 70'000)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(PartTrial(1, 610'000)), schema::RESULT_CODE_OK);
   EXPECT_FALSE(PublishedPart(log_.state(), "bad"));
 }
 
--- a/tests/routing/crash_evidence_table_test.cc
+++ b/tests/routing/crash_evidence_table_test.cc
@@ -56,6 +56,17 @@
   EXPECT_TRUE(IsHeld(table));
 }
 
+// Guards against a request that comes once in some minutes and ends a server each time.
+TEST(CrashEvidenceTableTest, HoldsARequestThatComesRarely) {
+  CrashEvidenceTable table;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    const std::uint64_t now = (5 * i + 1) * kMinute;
+    table.Expire(now);
+    table.RecordCrash(Crash("s" + std::to_string(i), now, now + kSecond));
+  }
+  EXPECT_TRUE(IsHeld(table));
+}
+
 // Guards against servers that crash at the same time, whatever the reason, and hold back every
 // property of the requests that were in progress.
 TEST(CrashEvidenceTableTest, CountsServersThatCrashTogetherOnce) {
@@ -162,9 +173,9 @@
   CrashEvidenceTable table;
   table.RecordCrash(Crash("s1", 9 * kSecond, 10 * kSecond, {"candidate"}));
   Hold(table);
-  table.Expire(69 * kSecond);
+  table.Expire(609 * kSecond);
   EXPECT_NE(table.Find("candidate"), nullptr);
-  table.Expire(70 * kSecond);
+  table.Expire(610 * kSecond);
   EXPECT_EQ(table.Find("candidate"), nullptr);
   EXPECT_TRUE(IsHeld(table));
   table.Expire(30 * kSecond + 59 * kMinute);
