--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -16,6 +16,7 @@
   head.headers.Add("Briarwood-Token-Usage", "1460, 80");
   head.headers.Add("Briarwood-Prefix-Hash", "5c1e:800,91bd:410,e440:250");
   head.headers.Add("Last-Event-Id", "12");
+  head.headers.Add("Resumes", "8b30");
   head.headers.Add("Briarwood-Length-Hint", "many");
   const forwarding::RequestMetadata facts = MakeCodec().read_request(head);
   EXPECT_EQ(facts.id, "9c41");
@@ -27,6 +28,7 @@
   EXPECT_EQ(facts.prompt_parts[1].id, "91bd");
   EXPECT_EQ(facts.prompt_parts[1].tokens, 410U);
   EXPECT_EQ(facts.last_event_id, 12U);
+  EXPECT_EQ(facts.resumed_request, "8b30");
   EXPECT_FALSE(facts.expected_output_tokens.has_value());
 }
 
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -46,6 +46,28 @@
   return sent;
 }
 
+// Guards against a stream that goes on at a server of another software version, or of none.
+TEST(PlacementTest, KeepsToTheRequiredSoftwareVersion) {
+  Placement placement({});
+  std::vector<BackendDescription> engines = Engines(4);
+  engines[1].software_version = "v1";
+  engines[2].software_version = "v2";
+  engines[3].software_version = "v2";
+  placement.SetBackends(engines);
+  PlacementRequest request = Request();
+  request.capability.software_version = "v1";
+  EXPECT_EQ(placement.Pick(request, kStart)->id, Id(1));
+  EXPECT_TRUE(placement.HasServer(request.capability, {}));
+  EXPECT_FALSE(placement.HasServer(request.capability, {Id(1)}));
+  placement.SetDraining(Id(1), true);
+  EXPECT_FALSE(placement.Pick(request, kStart));
+  EXPECT_FALSE(placement.HasServer(request.capability, {}));
+  request.capability.software_version = "";
+  EXPECT_EQ(placement.Pick(request, kStart)->id, Id(0));
+  request.capability.software_version = "v2";
+  EXPECT_TRUE(placement.HasServer(request.capability, {Id(2)}));
+}
+
 // Guards against requests to a server that says it is leaving, and against a server that starts
 // again with the id it had and gets none because its previous lifetime was leaving.
 TEST(PlacementTest, StatementsHoldForOneLifetimeOfAServer) {
