--- a/src/forwarding/exchange_retries.cc
+++ b/src/forwarding/exchange_retries.cc
@@ -84,7 +84,7 @@
     queued.avoid = last_backend_;
     queued.interruptions = sent_attempts_;
     state.scheduler.SetClass(QueuePolicy());
-    static_cast<void>(state.scheduler.Enqueue(std::move(queued), now));
+    owner_.HandleDropped(state, state.scheduler.Enqueue(std::move(queued), now));
   } else {
     state.scheduler.Requeue(id(), resume_from, last_backend_, RetryQueueDeadline(now));
   }
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -252,9 +252,9 @@
                   .text());
     metrics_.CountEvent("crash_property_held");
   }
-  for (const std::string& part : held_properties_) {
-    if (held.contains(part)) continue;
-    log_.Info(LogLine("crash_property_cleared").Add("property", part).text());
+  for (const std::string& property : held_properties_) {
+    if (held.contains(property)) continue;
+    log_.Info(LogLine("crash_property_cleared").Add("property", property).text());
     metrics_.CountEvent("crash_property_cleared");
   }
   held_properties_ = std::move(held);
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -408,33 +408,35 @@
 
   void RequestTrial(common::Time now) {
     if (trial_in_flight_) return;
-    const std::vector<std::string> parts = forwarder_.crash_guard().TakeWantedTrial();
-    if (parts.empty()) return;
+    const std::vector<std::string> properties = forwarder_.crash_guard().TakeWantedTrial();
+    if (properties.empty()) return;
     trial_in_flight_ = true;
     schema::Command command;
     schema::BeginPropertyTrial& trial = *command.mutable_begin_property_trial();
-    trial.mutable_properties()->Add(parts.begin(), parts.end());
+    trial.mutable_properties()->Add(properties.begin(), properties.end());
     trial.set_entry_incarnation(options_.incarnation.value());
     trial.set_sequence(++trial_sequence_);
     trial.set_now_unix_ms(proposals::WallClockMillis());
     evidence_proposer_.Propose(
         std::move(command), now + kEvidenceTimeout,
-        [this, parts](const schema::ProposeResponse& response) {
+        [this, properties](const schema::ProposeResponse& response) {
           const bool granted = response.status() == schema::ProposeResponse::STATUS_APPLIED &&
                                response.result().code() == schema::RESULT_CODE_OK;
-          boost::asio::post(loop_, [this, parts, granted] {
+          boost::asio::post(loop_, [this, properties, granted] {
             trial_in_flight_ = false;
-            if (granted) forwarder_.crash_guard().OnTrialGranted(parts, common::BootClock::now());
+            if (granted) {
+              forwarder_.crash_guard().OnTrialGranted(properties, common::BootClock::now());
+            }
           });
         });
   }
 
   void OnChanged(const std::vector<distribution::RowTable::RowKey>& changed) {
     if (!replica_.freshness()) return;
-    const auto is_prompt_part = [](const distribution::RowTable::RowKey& key) {
+    const auto is_crash_evidence = [](const distribution::RowTable::RowKey& key) {
       return key.first == schema::ROW_KIND_CRASH_EVIDENCE;
     };
-    if (has_table_ && std::all_of(changed.begin(), changed.end(), is_prompt_part)) {
+    if (has_table_ && std::all_of(changed.begin(), changed.end(), is_crash_evidence)) {
       ApplyCrashEvidence();
     } else {
       OnRows();
