--- a/src/control/admin_calls.cc
+++ b/src/control/admin_calls.cc
@@ -302,18 +302,19 @@
 
 std::string AdminCalls::RunCrashEvidence(const AdminCall& call) {
   if (call.path.size() == 1 && call.method == "GET") return ListCrashEvidence();
-  if (call.path.size() == 2 && call.method == "DELETE")
+  if (call.path.size() == 2 && call.method == "DELETE") {
     return ClearCrashEvidence(call.path[1], call);
+  }
   ThrowUnknownCall(call);
 }
 
-std::string AdminCalls::ClearCrashEvidence(const std::string& part, const AdminCall& call) {
+std::string AdminCalls::ClearCrashEvidence(const std::string& property, const AdminCall& call) {
   schema::ClearCrashEvidenceRequest request;
   FromJson(call.body, request);
   RequireOperationId(request.operation_id());
   schema::Command command;
   schema::ClearCrashEvidence& clear = *command.mutable_clear_crash_evidence();
-  clear.set_property(part);
+  clear.set_property(property);
   clear.set_operation_id(request.operation_id());
   clear.set_operator_name(call.operator_name);
   return OperationResult(request.operation_id(), Commit(command));
--- a/src/control/admin_views.cc
+++ b/src/control/admin_views.cc
@@ -123,7 +123,7 @@
 std::string AdminCalls::ListCrashEvidence() const {
   schema::ListCrashEvidenceResponse response;
   backend_.ReadState([&](const ControlState& state) {
-    for (const auto& [part, evidence] : state.crash_evidence().properties()) {
+    for (const auto& [property, evidence] : state.crash_evidence().properties()) {
       *response.add_crash_evidence() = evidence;
     }
   });
--- a/src/control/impl/admin_calls.h
+++ b/src/control/impl/admin_calls.h
@@ -57,7 +57,7 @@
   [[nodiscard]] std::string ListBackendServers() const;
   [[nodiscard]] std::string Drain(const std::string& id, bool draining, const AdminCall& call);
   [[nodiscard]] std::string ListCrashEvidence() const;
-  [[nodiscard]] std::string ClearCrashEvidence(const std::string& part, const AdminCall& call);
+  [[nodiscard]] std::string ClearCrashEvidence(const std::string& property, const AdminCall& call);
   [[nodiscard]] std::string AddMember(const AdminCall& call);
   [[nodiscard]] std::string ReplaceMember(std::uint64_t replaced, const AdminCall& call);
   [[nodiscard]] std::string PromoteMember(std::uint64_t id, const AdminCall& call);
--- a/src/routing/crash_evidence_table.cc
+++ b/src/routing/crash_evidence_table.cc
@@ -170,8 +170,9 @@
 void CrashEvidenceTable::Restore(const schema::CrashEvidenceTableState& state) {
   properties_.clear();
   changed_.clear();
-  for (const schema::CrashEvidence& evidence : state.properties())
+  for (const schema::CrashEvidence& evidence : state.properties()) {
     properties_[evidence.property()] = evidence;
+  }
 }
 
 }  // namespace briarwood::routing
--- a/src/routing/crash_guard.cc
+++ b/src/routing/crash_guard.cc
@@ -96,8 +96,9 @@
   if (std::all_of(held.begin(), held.end(), granted)) {
     grant_.reset();
     RequestTrial trial;
-    for (const schema::CrashEvidence* evidence : held)
+    for (const schema::CrashEvidence* evidence : held) {
       trial.properties.push_back(evidence->property());
+    }
     return trial;
   }
   const auto agreed = AgreedMillis(now);
@@ -108,8 +109,9 @@
   };
   if (IsConnected(now) && !grant_ && std::all_of(held.begin(), held.end(), due)) {
     wanted_trial_.clear();
-    for (const schema::CrashEvidence* evidence : held)
+    for (const schema::CrashEvidence* evidence : held) {
       wanted_trial_.push_back(evidence->property());
+    }
   }
   const schema::CrashEvidence* strongest = *std::max_element(
       held.begin(), held.end(), [](const schema::CrashEvidence* a, const schema::CrashEvidence* b) {
--- a/src/routing/stream_versions.cc
+++ b/src/routing/stream_versions.cc
@@ -24,8 +24,9 @@
 void StreamVersions::OnBegan(const common::Digest128& key, StreamOrigin origin,
                              std::chrono::milliseconds lifetime, common::Time now) {
   if (began_.size() >= kMaxStreams) return;
-  if (!began_.try_emplace(key, Began{.origin = origin, .expires_at = now + lifetime}).second)
+  if (!began_.try_emplace(key, Began{.origin = origin, .expires_at = now + lifetime}).second) {
     return;
+  }
   if (pending_starts_ >= kMaxPendingStarts) return;
   ++pending_starts_;
   schema::StreamStarts& starts = starts_[{origin.service, origin.software_version}];
