--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -191,12 +191,12 @@
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
   std::vector<std::string> part_ids;
   for (const PromptPart& part : facts_.prompt_parts) part_ids.push_back(part.id);
-  crash_properties_ = routing::CrashProperties(
-      part_ids, {.customer = customer_,
-                 .method = request_->head().method,
-                 .host = host == nullptr ? std::string_view() : std::string_view(*host),
-                 .target = request_->head().target,
-                 .body = *request_->body()});
+  crash_properties_ =
+      routing::CrashProperties(part_ids, {.customer = customer_,
+                                          .method = request_->head().method,
+                                          .host = host == nullptr ? std::string_view() : *host,
+                                          .target = request_->head().target,
+                                          .body = *request_->body()});
   return CheckCrashProperties();
 }
 
