Test cut heads of responses on the stand-alone path

Cause: the report of heads that stop in the middle was tried on the platform's path only. Ruled out: that the agent or the entry takes a cut head for a whole one. Change: tests only, six cuts of a service's response and of a stream's continuation.

--- a/tests/entry/faulty_engine_test.cc
+++ b/tests/entry/faulty_engine_test.cc
@@ -91,5 +91,54 @@
                     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                     "Content-Length: 12\r\n\r\ndata: oops\n\n"));
 
+class CutHeadTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a response of a service whose head is cut and that reaches the caller as a success
+// with an empty or short body, also on a connection that has served a call.
+TEST_P(CutHeadTest, IsNoSuccess) {
+  std::atomic<int> booked = 0;
+  RawServer service(
+      [&](const RawServer::Connection& connection, const RawServer::Request& request) {
+        if (AnswerProbe(connection, request)) return;
+        if (request.body.find("whole") != std::string::npos) {
+          ++booked;
+          connection.Respond("201 Created", R"({"booked":true})");
+          return;
+        }
+        connection.Send(GetParam());
+        connection.Close();
+      });
+  TestFleet fleet;
+  EntryNode& entry = fleet.AddEntry();
+  fleet.AddService("bookings-1", "http://" + service.address());
+  fleet.Configure();
+  for (const char* body : {R"({"whole":1})", R"({"cut":1})"}) {
+    const std::string key = "Idempotency-Key: key-" + std::string(body, 2, 3) + "\r\n";
+    const std::string response =
+        RawCall(entry.port(), MakePost("/bookings", body, kKey, key)).Finish();
+    const bool is_whole = std::string(body).find("whole") != std::string::npos;
+    EXPECT_EQ(response.starts_with("HTTP/1.1 2"), is_whole) << response;
+  }
+  EXPECT_EQ(booked, 1);
+}
+
+// Guards against the same with the continuation of a stream, which ends as if it were complete.
+TEST_P(CutHeadTest, EndsNoStream) {
+  const std::string response = ContinueAt([](const RawServer::Connection& connection) {
+    connection.Send(GetParam());
+    connection.Close();
+  });
+  EXPECT_NE(response.find("t1 "), std::string::npos) << response;
+  EXPECT_EQ(response.find("[DONE]"), std::string::npos) << response;
+}
+
+INSTANTIATE_TEST_SUITE_P(Variants, CutHeadTest,
+                         testing::Values("HTTP/1.1 200 OK\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Type: text/ev",
+                                         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+                                         "HTTP/1.1 100 Continue\r\n"));
+
 }  // namespace
 }  // namespace briarwood::entry
