Make StreamVersionTable move-only

Cause: its records hold iterators into its own map, which a copy would leave pointing into the original. Ruled out: that a copy is made today, as everything builds with copies forbidden. Change: copy operations are deleted. Conclusion: a later copy is a compile error instead of a use after free.

--- a/include/briarwood/control/stream_version_table.h
+++ b/include/briarwood/control/stream_version_table.h
@@ -25,6 +25,12 @@
 
   explicit StreamVersionTable(std::size_t max_streams = kDefaultMaxStreams)
       : max_streams_(max_streams) {}
+  // Streams refer to their origins, which a move keeps valid and a copy would not.
+  StreamVersionTable(StreamVersionTable&&) = default;
+  StreamVersionTable& operator=(StreamVersionTable&&) = default;
+  StreamVersionTable(const StreamVersionTable&) = delete;
+  StreamVersionTable& operator=(const StreamVersionTable&) = delete;
+  ~StreamVersionTable() = default;
 
   void Record(const schema::StreamStarts& starts, std::uint64_t now_unix_ms);
   [[nodiscard]] schema::StreamLookupResult LookUp(const schema::StreamLookup& lookup) const;
