Let a stream of the stand-alone daemons go on at its model version only

What callers saw: a completion whose first tokens came from one version of a model and the rest from another, if its request asked for no version. Ruled out: requests that ask for a version, which had it in their capability. Change: the first token fixes the version for the queue, for retries and for the run alone after a crash. Result: AStreamDoesNotGoOnAtAnotherVersion failed before (the other engine was asked) and passes; AStreamGoesOnAtItsVersion passes; 188 tests of entry, control and placement pass. Conclusion: both request paths keep to the version; a stream without an engine of its version waits until its deadline.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -192,6 +192,8 @@
   /// \returns true if a server for `capability` takes new requests, apart from those in `except`.
   [[nodiscard]] bool HasServer(const Capability& capability,
                                const std::set<common::BackendServerId>& except);
+  /// \returns the version of the model of a server; empty if it is unknown or states none.
+  [[nodiscard]] std::string ModelVersionOf(const common::BackendServerId& id) const;
   /// Number of servers that this entry uses for `capability`.
   [[nodiscard]] std::size_t SubsetSize(const Capability& capability);
 
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -245,11 +245,18 @@
   if (tracked != tracked_.end()) tracked->second.scheduler->Charge(id, 1, now);
 }
 
-void Dispatcher::OnFirstToken(const common::RequestId& id, common::Duration delay) {
+std::string Dispatcher::OnFirstToken(const common::RequestId& id, common::Duration delay) {
   const std::lock_guard lock(mutex_);
-  const auto tracked = tracked_.find(id);
-  if (tracked == tracked_.end()) return;
-  tracked->second.scheduler->ObserveFirstToken(tracked->second.request.input_tokens, delay);
+  const auto found = tracked_.find(id);
+  if (found == tracked_.end()) return {};
+  TrackedRequest& tracked = found->second;
+  tracked.scheduler->ObserveFirstToken(tracked.request.input_tokens, delay);
+  std::string& version = tracked.request.capability.model_version;
+  if (version.empty() && tracked.attempt) {
+    version = placement_.ModelVersionOf(tracked.attempt->server);
+    tracked.version_fixed = !version.empty();
+  }
+  return version;
 }
 
 void Dispatcher::EndAttempt(const common::RequestId& id, AttemptOutcome outcome, common::Time now) {
@@ -294,11 +301,13 @@
   tracked.request.resume_from = resume_from;
   ++tracked.request.interruptions;
   const SchedulerPtr current = SchedulerFor(tracked.request.capability);
-  if (tracked.scheduler == current && tracked.request.avoid.value().empty()) {
+  if (tracked.scheduler == current && tracked.request.avoid.value().empty() &&
+      !tracked.version_fixed) {
     current->Requeue(tracked.request.id, resume_from);
     return;
   }
-  // A request that must avoid a server, or whose scheduler was replaced, is enqueued anew.
+  // A request that must avoid a server, whose version is fixed or whose scheduler was replaced, is
+  // enqueued anew.
   tracked.scheduler->Finish(tracked.request.id);
   tracked.scheduler = current;
   for (routing::DroppedRequest& dropped : current->Enqueue(tracked.request, now)) {
--- a/src/entry/impl/dispatcher.h
+++ b/src/entry/impl/dispatcher.h
@@ -74,7 +74,10 @@
   [[nodiscard]] DispatchRound Next(common::Time now);
 
   void OnToken(const common::RequestId& id, common::Time now);
-  void OnFirstToken(const common::RequestId& id, common::Duration delay);
+  /// Records the first token of a request, which from then on requires the version of the model
+  /// that wrote it: text of two versions does not fit together. \returns the version; empty if the
+  /// request is unknown or its server states none.
+  std::string OnFirstToken(const common::RequestId& id, common::Duration delay);
 
   /// Ends the attempt of a placed request. The request stays tracked; Finish, PutBack or Requeue
   /// must follow.
@@ -111,6 +114,8 @@
     routing::QueuedRequest request;
     SchedulerPtr scheduler;
     std::optional<Attempt> attempt;
+    /// The first token has fixed the version of the model.
+    bool version_fixed = false;
   };
 
   [[nodiscard]] SchedulerPtr SchedulerFor(const routing::Capability& capability);
--- a/src/entry/live_request.cc
+++ b/src/entry/live_request.cc
@@ -360,7 +360,8 @@
   const common::Time now = Now();
   if (last_token_at_ == common::Time{}) {
     series_.FirstToken(now - plan_.arrived);
-    services_->dispatcher->OnFirstToken(plan_.id, now - placed_at_);
+    std::string version = services_->dispatcher->OnFirstToken(plan_.id, now - placed_at_);
+    if (!version.empty()) plan_.queued.capability.model_version = std::move(version);
   } else {
     series_.TokenGap(now - last_token_at_);
   }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -506,6 +506,11 @@
   });
 }
 
+std::string Placement::ModelVersionOf(const common::BackendServerId& id) const {
+  const auto found = index_.find(id);
+  return found == index_.end() ? std::string() : servers_[found->second].description.model_version;
+}
+
 std::size_t Placement::SubsetSize(const Capability& capability) {
   return PoolOf(capability).members.size();
 }
--- a/tests/entry/faulty_engine_test.cc
+++ b/tests/entry/faulty_engine_test.cc
@@ -140,5 +140,50 @@
                                          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
                                          "HTTP/1.1 100 Continue\r\n"));
 
+/// Engines of two versions of a model, of which the first breaks off its stream of version 1.
+class ModelVersionTest : public testing::Test {
+ protected:
+  void Add(const std::string& id, const ScriptedBackend& engine, const std::string& version) {
+    fleet_.AddEngine(id, engine, "max_concurrency: 8 model_version: \"" + version + "\"");
+  }
+
+  ScriptedBackend first_{{.incarnation = 1, .hold_before = 2}};
+  ScriptedBackend other_{{.incarnation = 2}};
+  ScriptedBackend same_{{.incarnation = 3}};
+  TestFleet fleet_;
+};
+
+// Guards against a stream that goes on at an engine with another version of the model, whose text
+// does not fit.
+TEST_F(ModelVersionTest, AStreamDoesNotGoOnAtAnotherVersion) {
+  EntryNode& entry = fleet_.AddEntry();
+  Add("engine-1", first_, "1");
+  fleet_.Configure();
+  RawCall call(entry.port(), MakePost("/v1/completions", kPrompt));
+  ASSERT_TRUE(call.WaitFor("t1 "));
+  Add("engine-2", other_, "2");
+  fleet_.Configure();
+  first_.Crash();
+  EXPECT_EQ(call.Finish().find("[DONE]"), std::string::npos);
+  EXPECT_TRUE(other_.received().empty());
+}
+
+// Guards against the same while an engine of the right version is there, and against a stream that
+// finds none.
+TEST_F(ModelVersionTest, AStreamGoesOnAtItsVersion) {
+  EntryNode& entry = fleet_.AddEntry();
+  Add("engine-1", first_, "1");
+  fleet_.Configure();
+  RawCall call(entry.port(), MakePost("/v1/completions", kPrompt));
+  ASSERT_TRUE(call.WaitFor("t1 "));
+  Add("engine-2", other_, "2");
+  Add("engine-3", same_, "1");
+  fleet_.Configure();
+  first_.Crash();
+  EXPECT_NE(call.Finish().find("[DONE]"), std::string::npos);
+  EXPECT_EQ(same_.received().size(), 1U);
+  EXPECT_TRUE(other_.received().empty());
+}
+
 }  // namespace
 }  // namespace briarwood::entry
