--- a/review/rig/leaked_rejections.cc
+++ b/review/rig/leaked_rejections.cc
@@ -1,10 +1,10 @@
-// Engines of a plain service shed part of their requests for some seconds. The entry counts the
-// body of each rejection as buffered and never releases it, until no answer fits any more. From
-// then on it replaces the answers to requests that have run by 502, also long after the engines are
-// sound.
+// A burst fills the engines of a plain service, and they turn requests away. The entries count the
+// body of each rejection as buffered and never release it, until no answer fits any more. From then
+// on they replace the answers to requests that have run by 502, also long after the burst.
 
 #include <algorithm>
 #include <atomic>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,23 +14,26 @@
 namespace briarwood::review {
 namespace {
 
-constexpr unsigned kEngines = 3;
+constexpr unsigned kEngines = 6;
 constexpr unsigned kSlots = 6;
-constexpr milliseconds kWork{10};
+/// "a few more" requests than slots wait at an engine.
+constexpr unsigned kQueue = 3;
+constexpr double kMeanWorkMs = 30;
+constexpr double kMaxWorkMs = 220;
 /// The service's answers have 800 bytes on average and 4,800 at most.
 constexpr std::size_t kAnswerBytes = 800;
 constexpr std::size_t kPageBytes = 4800;
 constexpr std::size_t kLineBytes = 400;
 
-/// srv_grey with how "shed all", x 0.45 for 6.5 s, several times.
-constexpr unsigned kShedPercent = 45;
-constexpr milliseconds kShedFor{6500};
+/// Bursts of 1.7 times the usual number of requests for 3 s.
+constexpr milliseconds kBurst{3000};
 constexpr milliseconds kPause{1000};
-constexpr unsigned kEpisodes = 6;
-constexpr std::chrono::seconds kTraffic{90};
+constexpr unsigned kBursts = 12;
+constexpr std::chrono::seconds kTraffic{105};
 
-/// Clients of one zone, each with at most one request in this interval.
-constexpr unsigned kClients = 120;
+/// Clients with at most one request in this interval; the further ones come in bursts only.
+constexpr unsigned kUsualClients = 170;
+constexpr unsigned kBurstClients = 289;
 constexpr milliseconds kInterval{200};
 constexpr const char* kKey = "n2ctnfzs989anu6wsjnb";
 /// Share of refused and failed requests above which a day fails the gate.
@@ -49,14 +52,6 @@
   }
 };
 
-/// State that the engines of the service share.
-struct Service {
-  Runs runs;
-  std::atomic<bool> shedding = false;
-  std::atomic<unsigned> requests = 0;
-  std::atomic<unsigned> rejections = 0;
-};
-
 /// Most rejections bring an error page, the others a line of text.
 std::string Rejection(const std::string& id, unsigned number) {
   constexpr unsigned kRejectionsPerLine = 4;
@@ -66,36 +61,77 @@
          std::string(bytes, 'r');
 }
 
-void ServeBookings(Channel& channel, Service& service) {
-  constexpr unsigned kHundred = 100;
-  // A permutation of 0 to 99, so that rejections do not come in rows.
-  constexpr unsigned kStep = 61;
-  const std::string answer(kAnswerBytes, 'a');
-  while (const auto head = channel.ReadHead()) {
-    if (!channel.ReadBody(*head)) return;
-    const std::string id = head->Find("briarwood-attempt-id");
-    if (service.shedding && service.requests++ * kStep % kHundred < kShedPercent) {
-      if (!channel.Write(Rejection(id, service.rejections++))) return;
-      continue;
+/// Engine with slots and a short queue; it does not tell its load.
+class Engine {
+ public:
+  Engine(unsigned seed, Runs& runs, std::atomic<unsigned>& rejections)
+      : random_(seed), runs_(runs), rejections_(rejections) {}
+
+  void Serve(Channel& channel) {
+    const std::string answer(kAnswerBytes, 'a');
+    while (const auto head = channel.ReadHead()) {
+      if (!channel.ReadBody(*head)) return;
+      const std::string id = head->Find("briarwood-attempt-id");
+      if (!Enter()) {
+        if (!channel.Write(Rejection(id, rejections_++))) return;
+        continue;
+      }
+      runs_.Add(id);
+      Work();
+      if (!channel.Write(Join(
+              {"HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: ", id, "\r\nBriarwood-Signature: s.", id,
+               "\r\nContent-Length: ", std::to_string(kAnswerBytes), "\r\n\r\n", answer}))) {
+        return;
+      }
     }
-    service.runs.Add(id);
-    std::this_thread::sleep_for(kWork);
-    if (!channel.Write(
-            Join({"HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: ", id, "\r\nBriarwood-Signature: s.",
-                  id, "\r\nContent-Length: ", std::to_string(kAnswerBytes), "\r\n\r\n", answer}))) {
-      return;
+  }
+
+ private:
+  /// Waits for a slot. \returns false if the queue is full.
+  bool Enter() {
+    std::unique_lock lock(mutex_);
+    if (inside_ >= kSlots + kQueue) return false;
+    ++inside_;
+    slot_free_.wait(lock, [this] { return running_ < kSlots; });
+    ++running_;
+    return true;
+  }
+
+  void Work() {
+    double work_ms = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      work_ms =
+          std::min(std::exponential_distribution<double>(1 / kMeanWorkMs)(random_), kMaxWorkMs);
     }
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(work_ms));
+    const std::lock_guard lock(mutex_);
+    --running_;
+    --inside_;
+    slot_free_.notify_one();
   }
-}
+
+  std::mutex mutex_;
+  std::condition_variable slot_free_;
+  std::mt19937 random_;
+  unsigned inside_ = 0;
+  unsigned running_ = 0;
+  Runs& runs_;
+  std::atomic<unsigned>& rejections_;
+};
 
 bool RuleHeld(Record& record) {
-  Service service;
+  Runs runs;
+  std::atomic<unsigned> rejections = 0;
+  std::atomic<bool> bursting = false;
+  std::vector<std::unique_ptr<Engine>> apps;
   std::vector<std::unique_ptr<Listener>> engines;
   Deployment deployment(record);
   for (unsigned i = 0; i < kEngines; ++i) {
+    Engine* app = apps.emplace_back(std::make_unique<Engine>(i, runs, rejections)).get();
     engines.push_back(
         std::make_unique<Listener>(deployment.AddEngine("a-" + std::to_string(i), "app", kSlots),
-                                   [&](Channel& channel) { ServeBookings(channel, service); }));
+                                   [app](Channel& channel) { app->Serve(channel); }));
   }
   deployment.Start();
   const std::string tenants =
@@ -109,33 +145,35 @@
   const auto start = Clock::now();
   const auto end = start + kTraffic;
   std::vector<std::thread> clients;
-  for (unsigned client = 0; client < kClients; ++client) {
+  for (unsigned client = 0; client < kBurstClients; ++client) {
     clients.emplace_back([&, client] {
-      auto next = start + kInterval * client / kClients;
+      auto next = start + kInterval * client / kBurstClients;
       while (next < end) {
         std::this_thread::sleep_until(next);
         next = std::max(next + kInterval, Clock::now());
+        if (client >= kUsualClients && !bursting) continue;
         const std::string id = NewAttemptId();
         ++counts.sent;
-        const Reply reply = Book(deployment.Front(0), kKey, id);
+        const Reply reply = Book(deployment.Front(client % Deployment::kMachines), kKey, id);
         if (reply.status == 200 && reply.body.size() == kAnswerBytes) ++counts.served;
-        if (reply.status == 502 && service.runs.Of(id) > 0) ++counts.run_but_replaced;
+        if (reply.status == 502 && runs.Of(id) > 0) ++counts.run_but_replaced;
         if (reply.status == 503) ++counts.refused;
       }
     });
   }
-  for (unsigned episode = 0; episode < kEpisodes; ++episode) {
+  for (unsigned burst = 0; burst < kBursts; ++burst) {
     std::this_thread::sleep_for(kPause);
-    service.shedding = WithTrouble();
-    std::this_thread::sleep_for(kShedFor);
-    service.shedding = false;
-    record.Line("after episode " + std::to_string(episode) + ": " + counts.ToText() +
-                "; rejections by engines " + std::to_string(service.rejections));
+    bursting = WithTrouble();
+    std::this_thread::sleep_for(kBurst);
+    bursting = false;
+    record.Line("after burst " + std::to_string(burst) + ": " + counts.ToText() +
+                "; rejections by engines " + std::to_string(rejections));
   }
   constexpr std::chrono::seconds kReport{5};
   while (Clock::now() + kReport < end) {
     std::this_thread::sleep_for(kReport);
-    record.Line("all engines are sound: " + counts.ToText());
+    record.Line("no burst: " + counts.ToText() + "; rejections by engines " +
+                std::to_string(rejections));
   }
   for (std::thread& client : clients) client.join();
   const double unserved = 1 - static_cast<double>(counts.served) / counts.sent;
