Keep the programs of the review cases in the folders of the cases

The programs are unchanged but for the path of an include.

Checked: review/build.sh; review/4/run.sh and review/5/run.sh fail as before.

--- a/review/rig/endless_chunk.cc
+++ b/review/3/endless_chunk.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "rig.h"
+#include "../rig.h"
 
 namespace briarwood::review {
 namespace {
--- a/review/rig/false_promise.cc
+++ b/review/4/false_promise.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <thread>
 
-#include "rig.h"
+#include "../rig.h"
 
 namespace briarwood::review {
 namespace {
--- a/review/rig/empty_tenants.cc
+++ b/review/5/empty_tenants.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <thread>
 
-#include "rig.h"
+#include "../rig.h"
 
 namespace briarwood::review {
 namespace {
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,11 +3,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/rig/*.cc; do
-  name=$(basename "$source" .cc)
-  [ "$name" = rig ] && continue
-  g++ -std=c++20 -O2 -pthread -o "target/review/$name" "$source" review/rig/rig.cc &
+jobs=()
+for source in review/[1-5]/*.cc; do
+  g++ -std=c++20 -O2 -pthread -o "target/review/$(basename "$source" .cc)" "$source" review/rig.cc &
+  jobs+=($!)
 done
 status=0
-for job in $(jobs -p); do wait "$job" || status=1; done
+for job in "${jobs[@]}"; do wait "$job" || status=1; done
 exit "$status"
