--- a/review/3/endless_chunk.cc
+++ b/review/3/endless_chunk.cc
@@ -19,6 +19,9 @@
 constexpr unsigned kEngines = 6;
 constexpr unsigned kFaultyEngines = 2;
 constexpr unsigned kAnswersPerSpoilt = 50;
+/// Spoilt answers come for 5.5 s at a time, as at the site, with 1 s between.
+constexpr milliseconds kEpisode{5500};
+constexpr milliseconds kEpisodePeriod{6500};
 constexpr std::chrono::seconds kTraffic{60};
 constexpr milliseconds kRestartDelay{300};
 constexpr int kOwnEnds = 3;
@@ -54,6 +57,11 @@
   }
 }
 
+bool InEpisode() {
+  static const Clock::time_point kStart = Clock::now();
+  return (Clock::now() - kStart) % kEpisodePeriod < kEpisode;
+}
+
 void ServeStream(Channel& channel, bool faulty, std::atomic<unsigned>& answers, Record& record) {
   while (const auto head = channel.ReadHead()) {
     if (!channel.ReadBody(*head)) return;
@@ -63,7 +71,7 @@
              "\r\nContent-Type: text/event-stream", "\r\nTransfer-Encoding: chunked\r\n\r\n"}))) {
       return;
     }
-    const bool spoilt = faulty && ++answers % kAnswersPerSpoilt == 0;
+    const bool spoilt = faulty && InEpisode() && ++answers % kAnswersPerSpoilt == 0;
     if (spoilt && WithTrouble()) {
       record.Line("spoilt answer to " + id);
       SendEndlessChunkHeader(channel);
--- a/review/4/false_promise.cc
+++ b/review/4/false_promise.cc
@@ -11,22 +11,34 @@
 namespace {
 
 constexpr unsigned kBookings = 300;
-/// One of three engines fails part of its requests: srv_grey with share 0.33 and x 0.3.
-constexpr unsigned kAnswersPerFailure = 10;
-constexpr unsigned kFailuresPerTen = 3;
+constexpr unsigned kEngines = 8;
+/// One of eight engines fails 45% of its requests for 6.5 s at a time, with 1 s between: srv_grey
+/// with share 0.125 and x 0.45.
+constexpr unsigned kHundred = 100;
+constexpr unsigned kFailingPercent = 45;
+constexpr milliseconds kEpisode{6500};
+constexpr milliseconds kEpisodePeriod{7500};
 constexpr milliseconds kInterval{20};
 constexpr const char* kKey = "n2ctnfzs989anu6wsjnb";
 
+bool InEpisode() {
+  static const Clock::time_point kStart = Clock::now();
+  return (Clock::now() - kStart) % kEpisodePeriod < kEpisode;
+}
+
 bool RuleHeld(Record& record) {
   Runs runs;
   std::atomic<unsigned> answers = 0;
   std::vector<std::unique_ptr<Listener>> engines;
   Deployment deployment(record);
-  for (unsigned i = 0; i < 3; ++i) {
+  for (unsigned i = 0; i < kEngines; ++i) {
     engines.push_back(std::make_unique<Listener>(
         deployment.AddEngine("i-" + std::to_string(i), "app", 6), [&, i](Channel& channel) {
           ServePlain(channel, runs, [&, i](const Head&) {
-            const bool fails = i == 0 && answers++ % kAnswersPerFailure < kFailuresPerTen;
+            // A permutation of 0 to 99, so that failures do not come in rows.
+            constexpr unsigned kStep = 61;
+            const bool fails =
+                i == 0 && InEpisode() && answers++ * kStep % kHundred < kFailingPercent;
             if (!fails) return std::string("200 OK");
             return std::string(WithTrouble() ? "503 Service Unavailable"
                                              : "500 Internal Server Error");
