Limit what a connection holds of the framing of a body

What callers saw: entries that ended by themselves with 114 to 121 MB (limit 110), and with them all requests that they were serving. A faulty engine had sent a chunk header without end. A caller could do the same without a key.

Cause: the read buffers of OutgoingConnection and IncomingConnection had no maximum. Limits on header and body do not apply to chunk headers and trailers, and the parser asks for more input until one is complete. CallAndWait, with which the platform's list is read, had no limit on a body either.

Evidence: the new tests on the code before: the server took all 64 MiB of each of five forms within 0.4 s and refused none; a client took them until its deadline; an entry took 2.1 GB of one response. Ruled out: the limits of header, body, events and skipped responses, whose tests passed before.

Change: http/impl/read_buffer.h limits the buffer in both directions, during a header to the limit of the header, during a body to 16 KiB. Beyond it a caller gets 431, and a response ends with the new CallEnd::kOversized, which is counted as "oversized_response" and logged with the server (attempt_failed). CallAndWait takes a limit for the body, 8 MiB by default. As the head of a request is now taken before its body, fields of a trailer no longer pass for header fields.

Why it works: a parser that cannot go on holds at most the buffer, and every input that it can pass on is counted by a limit already.

--- a/include/briarwood/http/outgoing.h
+++ b/include/briarwood/http/outgoing.h
@@ -25,6 +25,8 @@
   kCutShort,
   /// The server sent bytes that are not a valid HTTP response.
   kInvalid,
+  /// The header, the framing of the body or skipped responses exceed a limit of this client.
+  kOversized,
 };
 
 /// Callbacks of one call, in this order: on_head once for each response, on_data any number of
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -134,7 +134,7 @@
   timer_.cancel();
   response_.complete = end == http::CallEnd::kComplete;
   const common::Time now = common::BootClock::now();
-  if (response_.status != 0 && end != http::CallEnd::kInvalid) {
+  if (response_.status != 0 && end != http::CallEnd::kInvalid && end != http::CallEnd::kOversized) {
     checker_.OnResponse(outcome_.id, response_, now);
   }
   outcome_.status = response_.status;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -115,6 +115,8 @@
       return "cut_short";
     case http::CallEnd::kInvalid:
       return "invalid_response";
+    case http::CallEnd::kOversized:
+      return "oversized_response";
   }
   return "unknown";
 }
@@ -623,7 +625,7 @@
     if (!IsCurrent(attempt)) return;
   }
   if (attempt_->events.incomplete_event().size() > kMaxEventBytes) {
-    OnFailedAttempt(http::CallEnd::kInvalid);
+    OnFailedAttempt(http::CallEnd::kOversized);
     return;
   }
   if (request_->buffered_bytes() > kMaxBufferedBytes) {
@@ -641,7 +643,7 @@
                          .Add("bytes", attempt_->body.size() + data.size())
                          .Add("buffered", owner_.buffered_body_bytes_)
                          .text());
-    OnFailedAttempt(http::CallEnd::kInvalid);
+    OnFailedAttempt(http::CallEnd::kOversized);
     return;
   }
   attempt_->body += data;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -154,7 +154,7 @@
   }
   if (IsSilentAttempt(attempt) &&
       silent_attempt_->events.incomplete_event().size() > kMaxEventBytes) {
-    OnSilentAttemptEnd(http::CallEnd::kInvalid);
+    OnSilentAttemptEnd(http::CallEnd::kOversized);
   }
 }
 
--- a/src/http/blocking_call.cc
+++ b/src/http/blocking_call.cc
@@ -21,6 +21,8 @@
       return "the connection ended during the response";
     case CallEnd::kInvalid:
       return "the response is not valid HTTP";
+    case CallEnd::kOversized:
+      return "the response exceeds a limit";
   }
   return "unknown result";
 }
@@ -28,7 +30,8 @@
 }  // namespace
 
 common::Result<CallResponse> CallAndWait(const std::string& address, const RequestHead& head,
-                                         std::string body, std::chrono::milliseconds timeout) {
+                                         std::string body, std::chrono::milliseconds timeout,
+                                         std::size_t max_response_bytes) {
   using CallResult = common::Result<CallResponse>;
   const std::optional<Endpoint> endpoint = ParseEndpoint(address);
   if (!endpoint) return CallResult::Failure("\"" + address + "\" is not of the form ip:port");
@@ -45,7 +48,15 @@
                           response.head = received;
                           return true;
                         },
-                    .on_data = [&](std::string_view data) { response.body += data; },
+                    .on_data =
+                        [&](std::string_view data) {
+                          if (response.body.size() + data.size() <= max_response_bytes) {
+                            response.body += data;
+                            return;
+                          }
+                          ended = CallEnd::kOversized;
+                          connection->Close();
+                        },
                     .on_end = [&](CallEnd end) { ended = end; }});
   const common::Time deadline = common::BootClock::now() + timeout;
   while (!ended && common::BootClock::now() < deadline) {
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -11,10 +11,13 @@
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <deque>
+#include <limits>
 #include <list>
 #include <optional>
 #include <utility>
 
+#include "http/impl/read_buffer.h"
+
 namespace briarwood::http {
 
 namespace asio = boost::asio;
@@ -194,6 +197,8 @@
   std::uint64_t timer_id_ = 0;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  /// Head of the request whose body is being read.
+  RequestHead head_;
   std::list<std::shared_ptr<IncomingConnection>>::iterator position_;
 
   common::Time accepted_at_ = common::BootClock::now();
@@ -383,7 +388,10 @@
 void IncomingConnection::ReadHeader() {
   const IncomingLimits limits = server_->limits();
   parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  const std::size_t header_bytes =
+      std::min<std::size_t>(limits.max_header_bytes, std::numeric_limits<std::uint32_t>::max());
+  parser_->header_limit(static_cast<std::uint32_t>(header_bytes));
+  impl::PrepareForHeader(buffer_, header_bytes);
   parser_->body_limit(limits.max_body_bytes);
   SetTimer(limits.header_timeout, [this] { Reject(kRequestTimeout); });
   beast::http::async_read_header(
@@ -400,6 +408,14 @@
 
 void IncomingConnection::ReadBody() {
   const auto& message = parser_->get();
+  // Fields of a trailer are dropped: they are no part of the header (RFC 9110, 6.5.1).
+  head_ = {};
+  head_.method = ToText(message.method_string());
+  head_.target = ToText(message.target());
+  for (const auto& field : message) {
+    head_.headers.Add(ToText(field.name_string()), ToText(field.value()));
+  }
+  impl::PrepareForBody(buffer_);
   const auto coding = message.find(beast::http::field::transfer_encoding);
   if (coding != message.end() && !beast::iequals(coding->value(), "chunked")) {
     Reject(kNotImplemented);
@@ -430,12 +446,6 @@
   timer_.cancel();
   ++timer_id_;
   auto message = parser_->release();
-  RequestHead head;
-  head.method = ToText(message.method_string());
-  head.target = ToText(message.target());
-  for (const auto& field : message) {
-    head.headers.Add(ToText(field.name_string()), ToText(field.value()));
-  }
   constexpr unsigned kHttp10 = 10;
   peer_is_http_1_0_ = message.version() <= kHttp10;
   close_after_response_ = !message.keep_alive();
@@ -446,7 +456,7 @@
   ++server_->in_flight_;
   const std::uint64_t number = ++request_number_;
   auto request =
-      std::make_shared<RequestHandle>(shared_from_this(), number, std::move(head),
+      std::make_shared<RequestHandle>(shared_from_this(), number, std::move(head_),
                                       std::move(message.body()), common::BootClock::now());
   if (buffer_.size() == 0) WatchForDisconnect();
   server_->Handle(std::move(request));
--- a/src/http/outgoing.cc
+++ b/src/http/outgoing.cc
@@ -14,6 +14,8 @@
 #include <limits>
 #include <utility>
 
+#include "http/impl/read_buffer.h"
+
 namespace briarwood::http {
 
 namespace asio = boost::asio;
@@ -173,6 +175,7 @@
     const std::uint64_t call = call_number_;
     parser_.emplace();
     parser_->header_limit(kMaxHeaderBytes);
+    impl::PrepareForHeader(buffer_, kMaxHeaderBytes);
     // Without any limit, Boost 1.74 rejects every body that has a length.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     beast::http::async_read_header(socket_, buffer_, *parser_,
@@ -187,7 +190,7 @@
       const bool ended = error == beast::http::error::end_of_stream || !IsParseError(error);
       End(ended && nothing_received ? CallEnd::kNoResponse
           : ended                   ? CallEnd::kCutShort
-                                    : CallEnd::kInvalid);
+                                    : EndOfBadInput(error));
       return;
     }
     const auto& message = parser_->get();
@@ -211,7 +214,9 @@
     keep_alive_ = parser_->keep_alive();
     idle_time_ = UsableIdleTime(head);
     skip_response_ = handlers_.on_head && !handlers_.on_head(head);
-    if (in_call_) ReadBody();
+    if (!in_call_) return;
+    impl::PrepareForBody(buffer_);
+    ReadBody();
   }
 
   void ReadBody() {
@@ -238,7 +243,7 @@
     if (error == beast::http::error::need_buffer) error = {};
     if (skip_response_) skipped_bytes_ += received;
     if (skipped_bytes_ > kMaxSkippedBytes) {
-      End(CallEnd::kInvalid);
+      End(CallEnd::kOversized);
       return;
     }
     if (received > 0 && !skip_response_ && handlers_.on_data) {
@@ -246,7 +251,7 @@
     }
     if (!IsCurrent(call)) return;
     if (error && !parser_->is_done()) {
-      End(IsParseError(error) ? CallEnd::kInvalid : CallEnd::kCutShort);
+      End(IsParseError(error) ? EndOfBadInput(error) : CallEnd::kCutShort);
       return;
     }
     ReadBody();
@@ -275,6 +280,12 @@
            error != beast::http::error::partial_message;
   }
 
+  static CallEnd EndOfBadInput(const ErrorCode& error) {
+    const bool oversized =
+        error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow;
+    return oversized ? CallEnd::kOversized : CallEnd::kInvalid;
+  }
+
   void End(CallEnd end) {
     in_call_ = false;
     ++call_number_;
--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -115,6 +115,25 @@
   EXPECT_LT(sent_, kMaxTakenBytes);
 }
 
+// Guards against the framing of a chunked body without end, on which no limit of body or events
+// applies; both kinds of response are refused as a failed attempt.
+TEST_F(FaultyBackendTest, ClosesAfterFramingWithoutEnd) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nBriarwood-Attempt-Id: {id}\r\nBriarwood-Signature: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(8000, 'x');
+  for (const std::string target : {"/ask/x", "/book/x"}) {
+    for (const std::string start : {"5;", "0\r\nX-Junk: "}) {
+      SCOPED_TRACE(target + " " + start);
+      sent_ = 0;
+      EXPECT_THAT(CallEndlessBackend(target, head + start, filler), StartsWith("HTTP/1.1 502"));
+      EXPECT_LT(sent_, kMaxTakenBytes);
+      EXPECT_LT(took_, milliseconds(1000));
+      node_.reset();
+    }
+  }
+}
+
 // Guards against a response to another request without end, which is skipped, and against bytes of
 // it that reach the caller.
 TEST_F(FaultyBackendTest, ClosesAfterAForeignResponseWithoutEnd) {
