Refuse text that cannot be read back, and repair what is stored already

What callers saw: a desired state with the name "\udc00-night" was acknowledged with 200.

Cause: the JSON parser turns half a character into bytes that are not UTF-8. Nothing proved that what was accepted can be read back. Entries of the platform's list and ids of prompt parts led to the same.

Ruled out: sound pairs and "\\ud800" as text, which are accepted before and after.

--- a/include/briarwood/control/control_state.h
+++ b/include/briarwood/control/control_state.h
@@ -49,8 +49,13 @@
 
   /// \returns the whole state, including the tables that detect repeated commands.
   [[nodiscard]] std::string Serialize() const;
+  /// Text that is not UTF-8, which earlier versions let in, is repaired, see ParseRepairing.
   [[nodiscard]] static common::Result<ControlState> Restore(
       std::string_view bytes, ConfigurationParser parser = SettingsParser());
+  /// \returns the paths of the fields that Restore has repaired.
+  [[nodiscard]] const std::vector<std::string>& repaired_fields() const noexcept {
+    return repaired_fields_;
+  }
 
   [[nodiscard]] const distribution::RowTable& table() const noexcept { return table_; }
   [[nodiscard]] common::LogIndex applied_index() const noexcept { return applied_index_; }
@@ -113,6 +118,7 @@
   // Latest wall clock time of all commands. It never decreases, and expiry depends on it alone, so
   // that it is the same on every member.
   std::uint64_t clock_unix_ms_ = 0;
+  std::vector<std::string> repaired_fields_;
 };
 
 /// Sets the time field of a command that has one. The leader calls it immediately before it
--- a/include/briarwood/control/state_machine.h
+++ b/include/briarwood/control/state_machine.h
@@ -28,6 +28,8 @@
   /// Replaces the state.
   /// \returns an error message when the bytes are not a serialised state; nothing on success.
   [[nodiscard]] virtual std::optional<std::string> Restore(std::string_view bytes) = 0;
+  /// \returns an error message if Restore would fail.
+  [[nodiscard]] virtual std::optional<std::string> CheckSnapshot(std::string_view bytes) const = 0;
 };
 
 /// Adapts a movable state with Apply, Advance and Serialize.
@@ -52,6 +54,11 @@
     return std::nullopt;
   }
 
+  [[nodiscard]] std::optional<std::string> CheckSnapshot(std::string_view bytes) const override {
+    const common::Result<State> restored = restore_(bytes);
+    return restored.ok() ? std::nullopt : std::optional(restored.error());
+  }
+
   [[nodiscard]] const State& state() const noexcept { return state_; }
 
  private:
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -125,9 +125,7 @@
     if (std::string problem = ChooseIdentity(); !problem.empty()) return problem;
     auto node =
         ControlNode::Create(MakeNodeOptions(), rpc_server_, timers_, ControlState(options_.parser),
-                            [parser = options_.parser](std::string_view bytes) {
-                              return ControlState::Restore(bytes, parser);
-                            });
+                            [this](std::string_view bytes) { return RestoreState(bytes); });
     if (!node.ok()) return node.error();
     node_ = std::move(node).value();
     // Claims and usage change no row, so they notify no children; those get the new index with
@@ -231,6 +229,18 @@
   }
 
  private:
+  [[nodiscard]] common::Result<ControlState> RestoreState(std::string_view bytes) const {
+    common::Result<ControlState> state = ControlState::Restore(bytes, options_.parser);
+    if (state.ok() && !state.value().repaired_fields().empty()) {
+      const std::vector<std::string>& fields = state.value().repaired_fields();
+      log_.Warn(LogLine("snapshot_text_repaired")
+                    .Add("fields", fields.size())
+                    .Add("first_field", fields.front())
+                    .text());
+    }
+    return state;
+  }
+
   [[nodiscard]] const std::string& ca_file() const {
     return options_.settings.node().internal_tls().ca_file();
   }
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/common/message_text.h"
 #include "briarwood/control/error.h"
 #include "control/impl/configuration_rows.h"
 #include "control/impl/results.h"
@@ -438,14 +439,18 @@
   using RestoreResult = common::Result<ControlState>;
   google::protobuf::Arena arena;
   auto& snapshot = *google::protobuf::Arena::CreateMessage<schema::ControlSnapshot>(&arena);
-  if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+  std::vector<std::string> repaired;
+  if (!common::ParseRepairing(bytes, snapshot, repaired)) {
     return RestoreResult::Failure("the snapshot is not a valid control state");
   }
   ControlState state(std::move(parser));
+  state.repaired_fields_ = std::move(repaired);
   state.applied_index_ = common::LogIndex(snapshot.applied_index());
   state.clock_unix_ms_ = snapshot.clock_unix_ms();
   state.table_ = distribution::RowTable::FromState(snapshot.table());
   state.documents_.Restore(snapshot);
+  // Rows contain serialized messages, which were not repaired.
+  if (!state.repaired_fields_.empty()) state.PublishConfiguration(state.applied_index_);
   state.records_.Restore(snapshot);
   state.claims_.Restore(snapshot.claims());
   state.suspects_.Restore(snapshot.suspects());
--- a/src/control/documents.cc
+++ b/src/control/documents.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/common/message_text.h"
 #include "control/impl/results.h"
 
 namespace briarwood::control {
@@ -64,6 +65,16 @@
   evaluation.readable = true;
   evaluation.document = std::move(parsed).value();
   evaluation.problems = MergeWith(document, evaluation.document, evaluation.merged);
+  // Rows, syncs and snapshots contain the configuration, and one text that cannot be read back
+  // makes each of them unreadable as a whole.
+  if (!common::IsReadable(evaluation.document)) {
+    for (const std::string& field : common::InvalidTextFields(evaluation.document)) {
+      evaluation.problems.push_back(document + ": " + field + ": found text that is not UTF-8");
+    }
+    if (evaluation.problems.empty()) {
+      evaluation.problems.push_back(document + ": the configuration cannot be read back");
+    }
+  }
   for (const auto& check : {parser_.validate, extra_check}) {
     Problems more = check(evaluation.merged);
     std::move(more.begin(), more.end(), std::back_inserter(evaluation.problems));
--- a/src/control/http_platform.cc
+++ b/src/control/http_platform.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 
+#include "briarwood/common/utf8.h"
 #include "briarwood/control/platform_port.h"
 #include "briarwood/http/client.h"
 
@@ -14,6 +15,7 @@
 const http::Headers kJsonHeaders = {{"Content-Type", "application/json"}};
 
 std::optional<Json::Value> ReadObject(const std::string& text) {
+  if (!common::IsUtf8(text) || !common::HasOnlyPairedSurrogates(text)) return std::nullopt;
   Json::Value value;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) ||
--- a/src/control/impl/applier.cc
+++ b/src/control/impl/applier.cc
@@ -93,11 +93,20 @@
     return {};
   }
   schema::Command command;
-  if (!command.ParseFromString(entry.payload())) {
-    throw common::Error("command " + std::to_string(entry.index()) + " is not readable");
+  const bool readable = command.ParseFromString(entry.payload());
+  if (!readable) {
+    callbacks_.warning("command " + std::to_string(entry.index()) +
+                       " is not readable and is skipped");
   }
   const std::unique_lock lock(state_mutex_);
-  return state_->Apply(index, command);
+  if (readable) return state_->Apply(index, command);
+  // No member can read it, so all of them skip it and their states stay equal.
+  state_->Advance(index);
+  schema::CommandResult result;
+  result.set_code(schema::RESULT_CODE_INVALID);
+  result.set_index(entry.index());
+  result.set_message("the command is not readable");
+  return result;
 }
 
 void Applier::Do(const consensus::ApplyEntries& work) {
@@ -146,6 +155,11 @@
   bytes_since_snapshot_ = 0;
   // Only this thread modifies the state, so reading it needs no lock.
   auto snapshot = std::make_shared<const std::string>(state_->Serialize());
+  if (const auto problem = state_->CheckSnapshot(*snapshot)) {
+    callbacks_.warning("the snapshot at " + std::to_string(applied_) +
+                       " does not replace the last one: " + *problem);
+    return;
+  }
   last_snapshot_bytes_ = snapshot->size();
   callbacks_.snapshot_taken(common::LogIndex(applied_), std::move(snapshot));
 }
--- a/src/control/impl/applier.h
+++ b/src/control/impl/applier.h
@@ -33,6 +33,8 @@
     std::vector<std::function<void(common::LogIndex)>> applied;
     std::function<void(common::LogIndex, std::shared_ptr<const std::string>)> snapshot_taken;
     std::function<void(const std::string& reason)> failed;
+    /// Receives problems that do not stop the member.
+    std::function<void(const std::string& text)> warning;
   };
 
   Applier(std::unique_ptr<StateMachine> state, ProposalTable& proposals,
--- a/src/control/replicated_node.cc
+++ b/src/control/replicated_node.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "briarwood/common/message_text.h"
 #include "briarwood/common/random.h"
 #include "briarwood/rpc/client.h"
 #include "briarwood/rpc/error.h"
@@ -31,6 +32,13 @@
   return response;
 }
 
+schema::ProposeResponse InvalidCommand() {
+  schema::ProposeResponse response = ResponseOf(schema::ProposeResponse::STATUS_APPLIED);
+  response.mutable_result()->set_code(schema::RESULT_CODE_INVALID);
+  response.mutable_result()->set_message("the command cannot be read back");
+  return response;
+}
+
 }  // namespace
 
 class ReplicatedNode::Impl {
@@ -164,7 +172,11 @@
                        [loop](common::LogIndex index, std::shared_ptr<const std::string> data) {
                          loop->Push(SnapshotTakenEvent{index, std::move(data)});
                        },
-                   .failed = failed});
+                   .failed = failed,
+                   .warning =
+                       [this](const std::string& text) {
+                         if (options_.log) options_.log("control: " + text);
+                       }});
   {
     const std::lock_guard lock(mutex_);
     loop_ = loop;
@@ -221,6 +233,8 @@
   std::future<schema::ProposeResponse> answer = promise->get_future();
   schema::Command prepared = command;
   if (options_.prepare) options_.prepare(prepared);
+  // A command that is in the log and cannot be read back would stop every member.
+  if (!common::IsReadable(prepared)) return InvalidCommand();
   if (!running->Push(ProposeEvent{prepared.SerializeAsString(), std::move(promise)})) {
     return ResponseOf(schema::ProposeResponse::STATUS_NOT_LEADER);
   }
--- a/src/emulator/json.cc
+++ b/src/emulator/json.cc
@@ -4,9 +4,12 @@
 #include <chrono>
 #include <memory>
 
+#include "briarwood/common/utf8.h"
+
 namespace briarwood::emulator::impl {
 
 std::optional<Json::Value> ReadObject(std::string_view text) {
+  if (!common::IsUtf8(text) || !common::HasOnlyPairedSurrogates(text)) return std::nullopt;
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
--- a/src/proposals/proposer.cc
+++ b/src/proposals/proposer.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "briarwood/common/message_text.h"
 #include "briarwood/rpc/error.h"
 
 namespace briarwood::proposals {
@@ -29,6 +30,13 @@
 schema::ProposeResponse Proposer::Propose(const schema::Command& command, common::Time deadline) {
   schema::ProposeResponse unapplied;
   unapplied.set_status(schema::ProposeResponse::STATUS_NOT_LEADER);
+  if (!common::IsReadable(command)) {
+    // No member could parse the request, so retries would fail until the deadline.
+    unapplied.set_status(schema::ProposeResponse::STATUS_APPLIED);
+    unapplied.mutable_result()->set_code(schema::RESULT_CODE_INVALID);
+    unapplied.mutable_result()->set_message("the command cannot be read back");
+    return unapplied;
+  }
   schema::ProposeRequest request;
   *request.mutable_command() = command;
   for (;;) {
--- a/src/requests/caller_request.cc
+++ b/src/requests/caller_request.cc
@@ -72,7 +72,7 @@
 
 bool BodyContains(const std::string& body, const std::string& key) {
   if (Contains(body, key) || Contains(PercentDecode(body), key)) return true;
-  const std::optional<Json::Value> json = impl::ReadJson(body);
+  const std::optional<Json::Value> json = impl::ReadJsonWithAnyText(body);
   return json && JsonContains(*json, key);
 }
 
--- a/src/requests/json.cc
+++ b/src/requests/json.cc
@@ -2,6 +2,8 @@
 
 #include <memory>
 
+#include "briarwood/common/utf8.h"
+
 namespace briarwood::requests::impl {
 namespace {
 
@@ -25,7 +27,7 @@
 
 }  // namespace
 
-std::optional<Json::Value> ReadJson(std::string_view text) {
+std::optional<Json::Value> ReadJsonWithAnyText(std::string_view text) {
   static const Json::CharReaderBuilder builder = MakeReaderBuilder();
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value value;
@@ -41,6 +43,11 @@
   return value;
 }
 
+std::optional<Json::Value> ReadJson(std::string_view text) {
+  if (!common::IsUtf8(text) || !common::HasOnlyPairedSurrogates(text)) return std::nullopt;
+  return ReadJsonWithAnyText(text);
+}
+
 std::string WriteJson(const Json::Value& value) {
   static const Json::StreamWriterBuilder builder = MakeWriterBuilder();
   return Json::writeString(builder, value);
--- a/src/routing/crash_properties.cc
+++ b/src/routing/crash_properties.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/common/utf8.h"
 
 namespace briarwood::routing {
 namespace {
@@ -40,7 +41,12 @@
 
 std::vector<std::string> CrashProperties(const std::vector<std::string>& prompt_parts,
                                          const RequestIdentity& request) {
-  std::vector<std::string> properties = prompt_parts;
+  std::vector<std::string> properties;
+  for (const std::string& part : prompt_parts) {
+    // Evidence travels in messages, whose text must be UTF-8; callers choose the ids of parts.
+    properties.push_back(common::IsUtf8(part) ? part
+                                              : "part:" + common::ToHex(common::Sha256(part)));
+  }
   properties.push_back(Fingerprint(request));
   return properties;
 }
--- a/tests/control/replicated_node_test.cc
+++ b/tests/control/replicated_node_test.cc
@@ -48,6 +48,19 @@
   EXPECT_EQ(response.fence(), group.node(*leader).status().term.value());
 }
 
+// Guards against a command in the log that no member can read: it is refused before it is proposed.
+TEST(ReplicatedNodeTest, LeaderRefusesACommandThatCannotBeReadBack) {
+  NodeGroup group(3);
+  const auto leader = group.WaitLeader();
+  ASSERT_TRUE(leader);
+  schema::Command command = RegisterCommand("a");
+  command.mutable_record_action()->set_detail("\xed\xb0\x80");
+  const auto refused = group.node(*leader).Propose(command, seconds(5));
+  EXPECT_EQ(refused.status(), schema::ProposeResponse::STATUS_APPLIED);
+  EXPECT_EQ(refused.result().code(), schema::RESULT_CODE_INVALID);
+  ASSERT_TRUE(group.Write("b"));
+}
+
 // Guards against loss of acknowledged writes, and orders of a new leader during the lease of the
 // previous one.
 TEST(ReplicatedNodeTest, NextLeaderKeepsWritesAndWaitsBeforeOrders) {
--- a/tests/platform/client_test.cc
+++ b/tests/platform/client_test.cc
@@ -84,6 +84,18 @@
   }
 }
 
+// Guards against an entry of the list with half a character, which would make each sync that
+// carries the list unreadable.
+TEST(PlatformClientTest, LeavesOutAnEntryWithHalfACharacter) {
+  schema::BackendList list;
+  const std::string half =
+      R"({"service":"s","addr":"10.0.0.8:80","zone":"z","slots":1,"state":"ready","id":"x\udc00"})";
+  ASSERT_TRUE(
+      ReadPage(std::string(R"({"instances":[)") + half + "," + kValidEntry + "]}", list).ok());
+  ASSERT_EQ(list.backends_size(), 1);
+  EXPECT_EQ(list.backends(0).id(), "i-1");
+}
+
 // Guards against a time until a server is warm that no integer can hold.
 TEST(PlatformClientTest, BoundsTheWarmUpTime) {
   schema::BackendList list;
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -36,6 +36,28 @@
   return text.replace(at, from.size(), to);
 }
 
+// Guards against text that is no UTF-8 once its escapes are decoded, which protobuf cannot read
+// back, and against rejecting text that is.
+TEST(ConfigurationJsonTest, RejectsHalfCharacters) {
+  EXPECT_EQ(CountProblems(Replace(kValid, "\"t2\"", R"("\ud83d\ude00 \\ud800")")), 0U);
+  for (const char* half : {R"("\udc00-night")", R"("\ud800")", R"("\ud800\u0041")"}) {
+    EXPECT_GT(CountProblems(Replace(kValid, "\"t2\"", half)), 0U) << half;
+    EXPECT_GT(CountProblems(Replace(kValid, "\"new_field\"", half)), 0U) << half;
+    EXPECT_GT(CountProblems(Replace(kValid, "\"k2\"", half)), 0U) << half;
+  }
+  EXPECT_FALSE(ReadVersion(R"({"version":1,"\udc00":1})").ok());
+}
+
+// Guards against values that this parser accepts and another reader of the document refuses.
+TEST(ConfigurationJsonTest, RejectsValuesThatReadersDisagreeOn) {
+  for (const char* weight : {"1e400", "-1e400", "18446744073709551616", "NaN", "Infinity"}) {
+    EXPECT_GT(CountProblems(Replace(kValid, "\"weight\":90", std::string("\"weight\":") + weight)),
+              0U)
+        << weight;
+  }
+  EXPECT_GT(CountProblems(Replace(kValid, "\"version\":7", "\"version\":7,\"version\":8")), 0U);
+}
+
 // Guards against JSON values that are stored in the wrong field.
 TEST(ConfigurationJsonTest, ReadsADocument) {
   schema::PlatformSettings platform;
--- a/tests/requests/caller_request_test.cc
+++ b/tests/requests/caller_request_test.cc
@@ -27,7 +27,10 @@
   body.body = R"({"model":"m","prompt":"my key is sk-secret-\u0030001"})";
   CallerHttpRequest header = MakeRequest();
   header.headers.push_back({"Accept", kKey});
-  for (const CallerHttpRequest& request : {path, query, body, header}) {
+  // Half a character elsewhere in the body must not hide the key.
+  CallerHttpRequest half = MakeRequest();
+  half.body = R"({"a":"\udc00","prompt":"my key is sk-secret-\u0030001"})";
+  for (const CallerHttpRequest& request : {path, query, body, half, header}) {
     const auto taken = ExtractKey(request);
     ASSERT_FALSE(taken.ok());
     EXPECT_EQ(taken.error().code, CallerErrorCode::kKeyInRequest);
--- a/tests/routing/crash_properties_test.cc
+++ b/tests/routing/crash_properties_test.cc
@@ -19,6 +19,15 @@
   return CrashProperties({}, request).front();
 }
 
+// Guards against a prompt part whose id is no text: evidence against it could not be reported, nor
+// any other that the entry has gathered.
+TEST(CrashPropertiesTest, NamesAPartWithoutTextByItsDigest) {
+  const auto properties = CrashProperties({"\xff\xfe", "\xff"}, kRequest);
+  EXPECT_THAT(properties,
+              ElementsAre(StartsWith("part:"), StartsWith("part:"), StartsWith("request:")));
+  EXPECT_NE(properties[0], properties[1]);
+}
+
 // Guards against a request that repeats without a prompt and has no property by which it is known.
 TEST(CrashPropertiesTest, EveryRequestHasAFingerprint) {
   EXPECT_THAT(CrashProperties({}, kRequest), ElementsAre(StartsWith("request:")));
