Withhold a status that promises "not run" if the server may have run the request

What callers saw: a booking that an engine had run was answered 503, which promises that it has not run; the caller booked again and the slot was booked twice.

Cause: Exchange::Deliver passed on the status of every complete response. 408, 421, 429 and 503 are promises; a server makes one only if it states that it has not run the request.

Ruled out: rejections of the entry itself and after several attempts (CutRejectionTest, forwarding_test).

Change: such a response is replaced by 502 without the server's signature; its text and the log line false_promise_withheld name the status, the line also the server. Requests that may be repeated are tried again first. A rejection that breaks off is replaced by one of the entry. The entry in front of agents answers backend_failed with run state "ran".

Why it works: no path is left on which a status of the list reaches a caller without the server's statement or the entry's own knowledge that nothing was sent.

--- a/include/briarwood/http/heads.h
+++ b/include/briarwood/http/heads.h
@@ -59,6 +59,10 @@
 /// \returns the standard reason phrase of a status code, or an empty string for an unknown code.
 [[nodiscard]] std::string ReasonPhrase(std::uint16_t status);
 
+/// True for the statuses by which a response promises that the request has not run and will not:
+/// 408, 421, 429 and 503. A caller may send such a request again even if it must not run twice.
+[[nodiscard]] bool PromisesNotRun(std::uint16_t status) noexcept;
+
 /// \returns the serialised request line and header.
 /// \param has_body  adds a Content-Length field of `body_bytes`
 [[nodiscard]] std::string SerializeRequest(const RequestHead& head, std::size_t body_bytes,
--- a/src/entry/live_request.cc
+++ b/src/entry/live_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarwood/http/heads.h"
 #include "briarwood/requests/run_codec.h"
 
 namespace briarwood::entry::impl {
@@ -558,6 +559,13 @@
   if (!answer.content_type().empty()) headers["Content-Type"] = answer.content_type();
   const auto status = answer.status() == 0 ? http::ToNumber(http::Status::kBadGateway)
                                            : static_cast<std::uint16_t>(answer.status());
+  if (http::PromisesNotRun(status)) {
+    RespondError({.code = CallerErrorCode::kBackendFailed,
+                  .message = "the service ran the request and answered with status " +
+                             std::to_string(status),
+                  .run = schema::RUN_STATE_RAN});
+    return;
+  }
   exchange_->Respond({.status = status, .headers = std::move(headers), .body = answer.body()});
 }
 
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -704,7 +704,7 @@
   const bool rejected =
       attempt_->has_head && (attempt_->facts.not_executed || attempt_->facts.is_misdirected);
   if (rejected) {
-    OnRejectedAttempt();
+    OnRejectedAttempt(end == http::CallEnd::kComplete);
   } else if (end == http::CallEnd::kComplete) {
     OnCompleteResponse();
   } else {
@@ -741,12 +741,14 @@
     return;
   }
   if (IsSuccess(status)) RecordSoundStart();
-  if (IsServerError(status) && retryable()) {
+  if ((IsServerError(status) || http::PromisesNotRun(status)) && retryable()) {
     const http::ResponseHead head = attempt_->head;
     const std::string body = attempt_->body;
+    const common::BackendServerId backend_server = attempt_->backend_server;
     ReleaseAttempt(AttemptResult::kSuccess);
     if (TryRetry(/*may_have_run=*/true)) return;
     attempt_.emplace();
+    attempt_->backend_server = backend_server;
     attempt_->head = head;
     attempt_->body = body;
     Deliver();
@@ -762,6 +764,7 @@
     Fail(kBadGateway, "failed_after_start");
     return;
   }
+  if (WithholdFalsePromise()) return;
   http::RemoveConnectionFields(head.headers);
   request_->Respond(head, attempt_->body);
   // An error status in the backend server's own response comes from the application and does not
@@ -771,6 +774,21 @@
   End("answered", status, "");
 }
 
+bool Exchange::WithholdFalsePromise() {
+  const std::uint16_t status = attempt_->head.status;
+  if (!http::PromisesNotRun(status)) return false;
+  owner_.log_.Warn(LogLine("false_promise_withheld")
+                       .Add("request", facts_.id)
+                       .Add("backend", attempt_->backend_server.value())
+                       .Add("status", status)
+                       .text());
+  ReleaseAttempt(AttemptResult::kSuccess);
+  Fail(kBadGateway, "false_promise",
+       "the server answered with status " + std::to_string(status) +
+           " and did not state that it has not run the request\n");
+  return true;
+}
+
 void Exchange::ObserveResponseTime() {
   const common::Time arrived = request_->arrived_at();
   const common::Time now = common::BootClock::now();
@@ -814,7 +832,7 @@
   }
 }
 
-void Exchange::OnRejectedAttempt() {
+void Exchange::OnRejectedAttempt(bool complete) {
   http::ResponseHead head = attempt_->head;
   std::string body = std::move(attempt_->body);
   const bool other = attempt_->facts.is_misdirected;
@@ -844,6 +862,11 @@
     Reject(kUnavailable, "backend_replaced", RetryDelay());
     return;
   }
+  if (!complete) {
+    // The part that has arrived must not look like the server's whole response.
+    Reject(kUnavailable, "backend_rejected", RetryDelay());
+    return;
+  }
   http::RemoveConnectionFields(head.headers);
   if (head.status == kUnavailable) {
     // The server's own value is for this entry and does not apply to the service.
@@ -961,12 +984,14 @@
   End("refused", status, reason);
 }
 
-void Exchange::Fail(std::uint16_t status, std::string_view reason) {
+void Exchange::Fail(std::uint16_t status, std::string_view reason, const std::string& body) {
   owner_.metrics_.CountRefusal(reason);
   if (response_started_) {
     request_->Abort();
   } else {
-    request_->Respond({.status = status, .reason = {}, .headers = {}}, {});
+    http::ResponseHead head{.status = status, .reason = {}, .headers = {}};
+    if (!body.empty()) head.headers.Add("Content-Type", "text/plain; charset=utf-8");
+    request_->Respond(head, body);
   }
   End("failed", status, reason);
 }
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -163,7 +163,8 @@
   void OnCompleteResponse();
   void OnFailedAttempt(http::CallEnd end);
   void LogFailedAttempt(const Attempt& attempt, http::CallEnd end) const;
-  void OnRejectedAttempt();
+  /// \param complete  whether the whole response has arrived
+  void OnRejectedAttempt(bool complete);
   void OnCallerDisconnected(http::DisconnectCause cause);
   /// Records the start of the response, or the gap before a further event of a stream.
   void RecordProgress();
@@ -222,12 +223,17 @@
   /// \returns the delay after which a rejected caller may find a server.
   [[nodiscard]] std::chrono::milliseconds RetryDelay() const;
   void Deliver();
+  /// Fails the request instead of delivering the response of a server that has run it, if the
+  /// status would promise that it has not.
+  /// \returns true if the request has failed.
+  [[nodiscard]] bool WithholdFalsePromise();
   /// Responds with a status that the entry chose, without a response of a backend server.
   void Reject(std::uint16_t status, std::string_view reason,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
   /// Responds with an error after an attempt that may have run, or aborts a response that has
   /// started.
-  void Fail(std::uint16_t status, std::string_view reason);
+  /// \param body  explanation for the caller
+  void Fail(std::uint16_t status, std::string_view reason, const std::string& body = {});
   void End(std::string_view outcome, std::uint16_t status, std::string_view reason);
   void LogEnd(std::string_view outcome, std::uint16_t status, std::string_view reason) const;
   [[nodiscard]] bool retryable() const;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -116,7 +116,7 @@
     // A response that goes on with a stream is of the same type.
     return facts.has_signature && (!response_started_ || MediaTypeOf(head) == stream_media_type_);
   }
-  return !response_started_ && !IsServerError(head.status);
+  return !response_started_ && !IsServerError(head.status) && !http::PromisesNotRun(head.status);
 }
 
 bool Exchange::OnSilentAttemptHead(const http::ResponseHead& head) {
--- a/src/http/heads.cc
+++ b/src/http/heads.cc
@@ -63,6 +63,11 @@
   return {reason.data(), reason.size()};
 }
 
+bool PromisesNotRun(std::uint16_t status) noexcept {
+  constexpr std::array<std::uint16_t, 4> kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
+}
+
 std::string SerializeRequest(const RequestHead& head, std::size_t body_bytes, bool has_body) {
   std::string text;
   constexpr std::size_t kReservedHeadBytes = 1024;
