Record whether a configuration requires keys

What callers saw: after a desired state with "tenants":[] every key was accepted, also one that was never granted, on routes that are not public.

Cause: whether keys are required was derived from the list of customers being empty; an empty list stood for a missing one.

Change: CallerLimits.key_check records whether the document has the list. Where it is unknown and there are no customers, requests get 503 with Retry-After. "tenants":null is refused.

Why it works: the decision follows from the document itself and no longer from what is left of its list.

--- a/include/briarwood/control/documents.h
+++ b/include/briarwood/control/documents.h
@@ -55,10 +55,15 @@
   /// \returns the current version; 0 for an unknown document.
   [[nodiscard]] std::uint64_t CurrentVersion(const std::string& document) const;
 
-  void Restore(const schema::ControlSnapshot& snapshot);
+  /// \returns true if the merged configuration has become more complete than in the snapshot, which
+  ///   an earlier version may have written.
+  [[nodiscard]] bool Restore(const schema::ControlSnapshot& snapshot);
   void Save(schema::ControlSnapshot& snapshot) const;
 
  private:
+  /// Takes from the document whether keys are required if the configuration does not tell it.
+  /// \returns true if it does now.
+  [[nodiscard]] bool CompleteKeyCheck(schema::DocumentState& state) const;
   [[nodiscard]] Problems MergeWith(const std::string& document,
                                    const schema::Configuration& configuration,
                                    schema::Configuration& merged) const;
--- a/include/briarwood/routing/forward_table.h
+++ b/include/briarwood/routing/forward_table.h
@@ -44,8 +44,9 @@
   [[nodiscard]] const schema::ForwardRoute* Match(std::string_view host,
                                                   std::string_view path) const;
 
-  /// True if requests need a key, except on open routes.
-  [[nodiscard]] bool requires_keys() const noexcept { return !configuration_.customers.empty(); }
+  /// \returns whether requests need a key, except on open routes. Unspecified if the configuration
+  ///   has no customers and was written by a version that did not record it.
+  [[nodiscard]] schema::KeyCheck key_check() const noexcept;
 
   /// \returns the owner of a key, or nullptr.
   [[nodiscard]] const KeyOwner* FindOwner(std::string_view key) const;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -448,9 +448,11 @@
   state.applied_index_ = common::LogIndex(snapshot.applied_index());
   state.clock_unix_ms_ = snapshot.clock_unix_ms();
   state.table_ = distribution::RowTable::FromState(snapshot.table());
-  state.documents_.Restore(snapshot);
-  // Rows contain serialized messages, which were not repaired.
-  if (!state.repaired_fields_.empty()) state.PublishConfiguration(state.applied_index_);
+  const bool completed = state.documents_.Restore(snapshot);
+  // Rows contain serialized messages, which were neither repaired nor completed.
+  if (completed || !state.repaired_fields_.empty()) {
+    state.PublishConfiguration(state.applied_index_);
+  }
   state.records_.Restore(snapshot);
   state.claims_.Restore(snapshot.claims());
   state.suspects_.Restore(snapshot.suspects());
--- a/src/control/documents.cc
+++ b/src/control/documents.cc
@@ -155,11 +155,30 @@
   return {.result = accepted(index), .accepted = true};
 }
 
-void Documents::Restore(const schema::ControlSnapshot& snapshot) {
+bool Documents::Restore(const schema::ControlSnapshot& snapshot) {
   documents_.clear();
   merged_.Clear();
+  bool completed = false;
   for (const schema::DocumentState& state : snapshot.documents()) documents_[state.name()] = state;
-  for (const auto& [name, state] : documents_) merged_.MergeFrom(state.configuration());
+  for (auto& [name, state] : documents_) {
+    completed = CompleteKeyCheck(state) || completed;
+    merged_.MergeFrom(state.configuration());
+  }
+  return completed;
+}
+
+bool Documents::CompleteKeyCheck(schema::DocumentState& state) const {
+  if (!state.configuration().has_caller_limits() ||
+      state.configuration().caller_limits().key_check() != schema::KEY_CHECK_UNSPECIFIED) {
+    return false;
+  }
+  const auto parsed = parser_.parse(state.name(), state.content());
+  if (!parsed.ok() || parsed.value().caller_limits().key_check() == schema::KEY_CHECK_UNSPECIFIED) {
+    return false;
+  }
+  state.mutable_configuration()->mutable_caller_limits()->set_key_check(
+      parsed.value().caller_limits().key_check());
+  return true;
 }
 
 void Documents::Save(schema::ControlSnapshot& snapshot) const {
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -177,9 +177,12 @@
   if (key_owner != nullptr) {
     customer_ = key_owner->customer;
     tier_ = key_owner->tier.value_or(tier_);
-  } else if (table_->requires_keys() && !route_->open()) {
+  } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_REQUIRED) {
     Reject(kUnauthorized, facts_.key.empty() ? "no_key" : "unknown_key");
     return false;
+  } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_UNSPECIFIED) {
+    Reject(kUnavailable, "key_check_unknown", kRetryAfterDelayWithoutConfiguration);
+    return false;
   }
   milliseconds time_left(route_->timeout_ms());
   if (facts_.time_left) time_left = std::min(time_left, *facts_.time_left);
--- a/src/routing/forward_table.cc
+++ b/src/routing/forward_table.cc
@@ -6,6 +6,7 @@
 #include "briarwood/common/host_name.h"
 
 namespace briarwood::routing {
+
 ForwardTable::ForwardTable(ForwardConfiguration configuration)
     : configuration_(std::move(configuration)) {
   for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
@@ -59,6 +60,11 @@
   return {};
 }
 
+schema::KeyCheck ForwardTable::key_check() const noexcept {
+  if (!configuration_.customers.empty()) return schema::KEY_CHECK_REQUIRED;
+  return limits().key_check();
+}
+
 const schema::CallerLimits& ForwardTable::limits() const {
   static const schema::CallerLimits kDefaults;
   return configuration_.limits ? *configuration_.limits : kDefaults;
--- a/tests/control/highest_version_test.cc
+++ b/tests/control/highest_version_test.cc
@@ -72,5 +72,29 @@
   EXPECT_EQ(Content(), CustomerText("a"));
 }
 
+// Guards against a snapshot of an earlier version, which did not record whether keys are required:
+// the document still tells it.
+TEST(KeyCheckUpgradeTest, TakesTheKeyCheckOfAnEarlierSnapshotFromItsDocument) {
+  using testing_support::Apply;
+  testing_support::Log log;
+  const std::string content = "caller_limits { key_check: KEY_CHECK_REQUIRED }";
+  ASSERT_EQ(log.Apply(Apply("main", 1, content)).code(), schema::RESULT_CODE_OK);
+  schema::ControlSnapshot snapshot;
+  ASSERT_TRUE(snapshot.ParseFromString(log.state().Serialize()));
+  snapshot.mutable_documents(0)->mutable_configuration()->mutable_caller_limits()->Clear();
+  for (schema::Row& row : *snapshot.mutable_table()->mutable_rows()) {
+    if (row.kind() == schema::ROW_KIND_CALLER_LIMITS) row.clear_value();
+  }
+  auto restored =
+      ControlState::Restore(snapshot.SerializeAsString(), testing_support::TextParser());
+  ASSERT_TRUE(restored.ok());
+  const schema::Row* row =
+      restored.value().table().Find(schema::ROW_KIND_CALLER_LIMITS, "caller_limits");
+  ASSERT_NE(row, nullptr);
+  schema::CallerLimits limits;
+  ASSERT_TRUE(limits.ParseFromString(row->value()));
+  EXPECT_EQ(limits.key_check(), schema::KEY_CHECK_REQUIRED);
+}
+
 }  // namespace
 }  // namespace briarwood::control
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -58,6 +58,22 @@
   EXPECT_GT(CountProblems(Replace(kValid, "\"version\":7", "\"version\":7,\"version\":8")), 0U);
 }
 
+// Guards against an empty list of customers that is taken for a missing one, or the other way
+// round.
+TEST(ConfigurationJsonTest, DistinguishesAnEmptyListOfCustomersFromAMissingOne) {
+  const control::ConfigurationParser parser = MakeParser(schema::PlatformSettings());
+  const std::string start = R"({"version":1,"routes":[],"services":[])";
+  const auto key_check = [&](const std::string& rest) {
+    const auto parsed = parser.parse("platform", start + rest);
+    return parsed.ok() ? parsed.value().caller_limits().key_check() : schema::KEY_CHECK_UNSPECIFIED;
+  };
+  EXPECT_EQ(key_check(R"(,"tenants":[]})"), schema::KEY_CHECK_REQUIRED);
+  EXPECT_EQ(key_check(R"(,"tenants":[{"name":"t1","apiKeys":[]}],"limits":{}})"),
+            schema::KEY_CHECK_REQUIRED);
+  EXPECT_EQ(key_check("}"), schema::KEY_CHECK_NONE);
+  EXPECT_FALSE(parser.parse("platform", start + R"(,"tenants":null})").ok());
+}
+
 // Guards against JSON values that are stored in the wrong field.
 TEST(ConfigurationJsonTest, ReadsADocument) {
   schema::PlatformSettings platform;
--- a/tests/routing/forward_table_test.cc
+++ b/tests/routing/forward_table_test.cc
@@ -21,6 +21,22 @@
   return route == nullptr ? "none" : route->id();
 }
 
+// Guards against a table without customers that accepts every key although the configuration
+// requires keys, or does not tell.
+TEST(ForwardTableTest, RequiresKeysAsTheConfigurationTells) {
+  const auto check = [](schema::KeyCheck recorded, std::vector<schema::Customer> customers) {
+    schema::CallerLimits limits;
+    limits.set_key_check(recorded);
+    return ForwardTable(
+               {.routes = {}, .services = {}, .customers = std::move(customers), .limits = limits})
+        .key_check();
+  };
+  EXPECT_EQ(check(schema::KEY_CHECK_REQUIRED, {}), schema::KEY_CHECK_REQUIRED);
+  EXPECT_EQ(check(schema::KEY_CHECK_NONE, {}), schema::KEY_CHECK_NONE);
+  EXPECT_EQ(check(schema::KEY_CHECK_UNSPECIFIED, {}), schema::KEY_CHECK_UNSPECIFIED);
+  EXPECT_EQ(check(schema::KEY_CHECK_UNSPECIFIED, {schema::Customer()}), schema::KEY_CHECK_REQUIRED);
+}
+
 // Guards against a route that matches requests of a more specific route or of another host.
 TEST(ForwardTableTest, FindsTheLongestPrefixOfTheHost) {
   const ForwardTable table(
