Keep a member running while its disk is full

What operators saw: members ended at the first write that found no room, and again at each start until there was room; a supervisor that limits restarts gives up. Changes stayed unanswered while the leader's disk was full.

Cause: every failed write counted as a broken disk. Besides, a leader applies only what is on its own disk.

Evidence: with the old rule MemberProcessTest.GoesOnAfterFullDisks (real processes whose files may not grow) and ReplicatedNodeTest.GoesOnAfterFullDisks fail at the first full disk. Ruled out: failed syncs, after which the state of the disk is unknown; they end the member as before (FailedSyncEndsTheMember).

Change: a write without room is kept and repeated every 100 ms, after removing the part of it that was written. A leader with a full disk transfers its leadership every 500 ms until it succeeds. A member waits for 64 KiB of room before it starts. EFBIG and quotas count as full; SIGXFSZ is ignored.

Why it works: nothing is reported as durable before the repeated write and its sync have succeeded, so a full disk is a slow disk to the consensus.

--- a/include/briarwood/storage/log_store.h
+++ b/include/briarwood/storage/log_store.h
@@ -50,7 +50,8 @@
   void SetHardState(const schema::HardState& state);
   /// Discards all entries; the next one must have index + 1.
   void Restart(std::uint64_t index, std::uint64_t term);
-  /// Makes all preceding writes durable. After a failure every further call throws StorageError.
+  /// Makes all preceding writes durable. If the disk is full, the writes are kept and the call can
+  /// be repeated; after any other failure every further call throws StorageError.
   void Sync();
   /// Deletes old segments that contain no entry after `index`.
   void DeletePrefix(std::uint64_t index);
@@ -66,6 +67,9 @@
   void Replay(const schema::LogRecord& record, std::uint64_t sequence);
   void ReplayEntry(const schema::LogEntry& entry, std::uint64_t sequence);
   void OpenSegment(std::uint64_t sequence);
+  /// Begins the next segment, or goes on with the active one while the disk is full.
+  void StartNextSegment();
+  void WriteBuffer();
   void WriteRecord(schema::LogRecord record);
   void ThrowIfFailed() const;
   [[nodiscard]] std::string PathOf(std::uint64_t sequence) const;
@@ -84,6 +88,8 @@
   std::optional<File> file_;
   std::uint64_t synced_bytes_ = 0;
   std::string buffer_;
+  /// The active segment may end with a part of the buffer, which did not fit on the disk.
+  bool has_partial_tail_ = false;
   bool failed_ = false;
 };
 
--- a/include/briarwood/storage/snapshot_store.h
+++ b/include/briarwood/storage/snapshot_store.h
@@ -30,7 +30,8 @@
   [[nodiscard]] std::uint64_t latest_index() const noexcept { return latest_index_; }
 
   /// Returns once the snapshot is durable. Does nothing if this snapshot or a later one is already
-  /// stored. After a failure every further call throws StorageError.
+  /// stored. If the disk is full, the call can be repeated; after any other failure every further
+  /// call throws StorageError.
   void Save(const schema::SnapshotMetadata& metadata, const std::string& data);
 
  private:
@@ -45,6 +46,7 @@
   std::string folder_;
   std::optional<Snapshot> loaded_;
   std::uint64_t latest_index_ = 0;
+  bool has_temporary_ = false;
   bool failed_ = false;
 };
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -38,6 +38,9 @@
 using observability::LogLine;
 using std::chrono::milliseconds;
 
+/// Room that a member needs to start: a log segment, its identity and a vote.
+constexpr std::size_t kRoomToStartBytes = std::size_t{64} * 1024;
+constexpr milliseconds kRoomPollInterval{100};
 constexpr milliseconds kDutyPeriod{250};
 constexpr milliseconds kReportPeriod{1000};
 constexpr milliseconds kReportTimeout{800};
@@ -122,6 +125,7 @@
 
   /// \returns an empty string, or an error message.
   std::string Start() {
+    if (!WaitForRoom()) return "stopped while the disk was full";
     if (std::string problem = ChooseIdentity(); !problem.empty()) return problem;
     auto node =
         ControlNode::Create(MakeNodeOptions(), rpc_server_, timers_, ControlState(options_.parser),
@@ -229,6 +233,39 @@
   }
 
  private:
+  /// Waits until the disk has room for what a member writes when it starts. A process that ended
+  /// instead would be started again and again until then.
+  /// \returns false if the process is to stop.
+  [[nodiscard]] bool WaitForRoom() {
+    const std::string& folder = options_.settings.data_folder();
+    if (folder.empty()) return true;
+    const std::string probe = folder + "/room.new";
+    bool logged = false;
+    while (true) {
+      try {
+        files_.CreateFolder(folder);
+        storage::File file = files_.Open(probe);
+        const auto remove = [&] { files_.Remove(probe); };
+        try {
+          file.Append(std::string(kRoomToStartBytes, '\0'));
+        } catch (const storage::StorageError&) {
+          remove();
+          throw;
+        }
+        remove();
+        return true;
+      } catch (const storage::StorageError& error) {
+        // Other problems are reported by what needs the folder.
+        if (error.problem() != storage::StorageProblem::kDiskFull) return true;
+        if (!std::exchange(logged, true)) {
+          log_.Warn(LogLine("disk_full_at_start").Add("problem", error.what()).text());
+        }
+      }
+      if (options_.interrupted && options_.interrupted()) return false;
+      std::this_thread::sleep_for(kRoomPollInterval);
+    }
+  }
+
   [[nodiscard]] common::Result<ControlState> RestoreState(std::string_view bytes) const {
     common::Result<ControlState> state = ControlState::Restore(bytes, options_.parser);
     if (state.ok() && !state.value().repaired_fields().empty()) {
--- a/src/control/impl/disk_worker.cc
+++ b/src/control/impl/disk_worker.cc
@@ -1,5 +1,6 @@
 #include "control/impl/disk_worker.h"
 
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -7,6 +8,12 @@
 
 namespace briarwood::control {
 
+namespace {
+
+constexpr std::chrono::milliseconds kFullDiskRetryInterval{100};
+
+}  // namespace
+
 DiskWorker::DiskWorker(MemberDisk disk, Callbacks callbacks)
     : disk_(std::move(disk)), callbacks_(std::move(callbacks)), thread_([this] { Run(); }) {}
 
@@ -14,6 +21,11 @@
 
 void DiskWorker::Stop() {
   queue_.Close();
+  {
+    const std::lock_guard lock(stop_mutex_);
+    stopping_ = true;
+  }
+  stop_changed_.notify_all();
   if (thread_.joinable()) thread_.join();
 }
 
@@ -42,18 +54,53 @@
     std::visit(
         [&]<typename Action>(const Action& action) {
           if constexpr (!std::is_same_v<Action, OwnSnapshot>) {
-            disk_.Write(action);
+            if (!RetryWhileFull([&] { disk_.Write(action); })) return;
             last_ticket = action.ticket;
           }
         },
         work);
   }
-  disk_.Sync();
+  if (!RetryWhileFull([this] { disk_.Sync(); })) return;
   if (last_ticket) callbacks_.persisted(*last_ticket);
-  for (OwnSnapshot& snapshot : snapshots) {
+  for (OwnSnapshot& snapshot : snapshots) SaveOwnSnapshot(std::move(snapshot));
+}
+
+template <typename Step>
+bool DiskWorker::RetryWhileFull(Step step) {
+  bool was_full = false;
+  while (true) {
+    try {
+      step();
+      if (was_full) {
+        callbacks_.warning("the disk has room again");
+        callbacks_.full(false);
+      }
+      return true;
+    } catch (const storage::StorageError& error) {
+      if (error.problem() != storage::StorageProblem::kDiskFull) throw;
+      if (!std::exchange(was_full, true)) {
+        callbacks_.warning(std::string("the disk is full, retrying: ") + error.what());
+        callbacks_.full(true);
+      }
+    }
+    std::unique_lock lock(stop_mutex_);
+    if (stop_changed_.wait_for(lock, kFullDiskRetryInterval, [this] { return stopping_; })) {
+      return false;
+    }
+  }
+}
+
+void DiskWorker::SaveOwnSnapshot(OwnSnapshot snapshot) {
+  try {
     disk_.SaveOwnSnapshot(snapshot.metadata, *snapshot.data);
-    callbacks_.snapshot_saved(std::move(snapshot));
+  } catch (const storage::StorageError& error) {
+    if (error.problem() != storage::StorageProblem::kDiskFull) throw;
+    // The log still holds everything; the next snapshot may find room.
+    callbacks_.warning("the snapshot at " + std::to_string(snapshot.metadata.index()) +
+                       " is not saved: " + error.what());
+    return;
   }
+  callbacks_.snapshot_saved(std::move(snapshot));
 }
 
 }  // namespace briarwood::control
--- a/src/control/impl/raft_loop.cc
+++ b/src/control/impl/raft_loop.cc
@@ -13,6 +13,9 @@
 /// Further proposals are rejected, so that a stalled disk does not grow the queues without bound.
 constexpr std::size_t kMaxPendingProposals = 16'384;
 
+/// Interval between attempts of a leader with a full disk to transfer its leadership.
+constexpr std::chrono::milliseconds kFullDiskTransferInterval{500};
+
 const char* RoleName(consensus::Role role) noexcept {
   switch (role) {
     case consensus::Role::kFollower:
@@ -50,6 +53,11 @@
               [this](const std::string& reason) {
                 queue_.Close();
                 failed_("disk: " + reason);
+              },
+          .full = [this](bool full) { disk_full_ = full; },
+          .warning =
+              [this](const std::string& text) {
+                if (options_.log) options_.log("control: " + text);
               }});
   Publish();
   thread_ = std::thread([this] { Run(); });
@@ -94,7 +102,13 @@
   published_changed_.notify_all();
 }
 
-void RaftLoop::On(TickEvent& /*event*/, common::Time now) { raft_.Tick(now); }
+void RaftLoop::On(TickEvent& /*event*/, common::Time now) {
+  raft_.Tick(now);
+  // A leader applies, and so acknowledges, only what is on its own disk; the others may have room.
+  if (!disk_full_ || raft_.role() != consensus::Role::kLeader || now < next_transfer_) return;
+  next_transfer_ = now + kFullDiskTransferInterval;
+  static_cast<void>(raft_.TransferLeadership(common::MemberId(), now));
+}
 
 void RaftLoop::On(MessageEvent& event, common::Time now) { raft_.Receive(event.message, now); }
 
--- a/src/control/impl/raft_loop.h
+++ b/src/control/impl/raft_loop.h
@@ -105,6 +105,8 @@
   PublishedState published_;
 
   WorkQueue<NodeEvent> queue_;
+  std::atomic<bool> disk_full_ = false;
+  common::Time next_transfer_;
   std::unique_ptr<DiskWorker> disk_;
   std::thread thread_;
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -39,6 +39,8 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond a limit on the size of files fails like one to a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 std::string ReadTextFile(const std::string& file_name) {
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -151,18 +151,42 @@
 }
 
 void LogStore::OpenSegment(std::uint64_t sequence) {
-  active_segment_ = sequence;
-  segments_[sequence] = 0;
-  synced_bytes_ = 0;
-  file_.emplace(files_.Open(PathOf(sequence)));
   schema::LogRecord record;
   *record.mutable_hard_state() = hard_state_;
-  WriteRecord(std::move(record));
-  file_->Append(buffer_);
-  file_->Sync();
+  std::string header;
+  AppendRecord(header, record.SerializeAsString());
+  File file = files_.Open(PathOf(sequence));
+  file.Append(header);
+  file.Sync();
   files_.SyncFolder(options_.folder);
-  synced_bytes_ = buffer_.size();
-  buffer_.clear();
+  file_.emplace(std::move(file));
+  active_segment_ = sequence;
+  segments_[sequence] = 0;
+  synced_bytes_ = header.size();
+}
+
+void LogStore::StartNextSegment() {
+  const std::uint64_t next = active_segment_ + 1;
+  try {
+    OpenSegment(next);
+  } catch (const StorageError& error) {
+    if (error.problem() != StorageProblem::kDiskFull) throw;
+    // A segment must be complete if a later one exists, so the new one is removed durably before
+    // the active one is written again.
+    const std::vector<std::string> names = files_.List(options_.folder);
+    if (std::any_of(names.begin(), names.end(),
+                    [next](const std::string& name) { return SequenceOf(name) == next; })) {
+      files_.Remove(PathOf(next));
+    }
+    files_.SyncFolder(options_.folder);
+  }
+}
+
+void LogStore::WriteBuffer() {
+  if (std::exchange(has_partial_tail_, true))
+    files_.Truncate(PathOf(active_segment_), synced_bytes_);
+  file_->Append(buffer_);
+  has_partial_tail_ = false;
 }
 
 void LogStore::WriteRecord(schema::LogRecord record) {
@@ -214,14 +238,20 @@
   ThrowIfFailed();
   if (buffer_.empty()) return;
   try {
-    file_->Append(buffer_);
+    WriteBuffer();
+  } catch (const StorageError& error) {
+    failed_ = error.problem() != StorageProblem::kDiskFull;
+    throw;
+  }
+  try {
     file_->Sync();
     synced_bytes_ += buffer_.size();
     buffer_.clear();
-    if (synced_bytes_ >= options_.segment_bytes) OpenSegment(active_segment_ + 1);
-  } catch (const StorageError&) {
+    if (synced_bytes_ >= options_.segment_bytes) StartNextSegment();
+  } catch (const StorageError& error) {
     failed_ = true;
-    throw;
+    // What a failed sync has written is unknown, even if the disk is full.
+    throw StorageError(StorageProblem::kIo, error.what());
   }
 }
 
--- a/src/storage/posix_files.cc
+++ b/src/storage/posix_files.cc
@@ -21,7 +21,7 @@
 constexpr mode_t kFileMode = 0600;
 
 [[noreturn]] void ThrowError(const std::string& action, const std::string& path, int error_number) {
-  const bool disk_full = error_number == ENOSPC || error_number == EDQUOT;
+  const bool disk_full = error_number == ENOSPC || error_number == EDQUOT || error_number == EFBIG;
   throw StorageError(disk_full ? StorageProblem::kDiskFull : StorageProblem::kIo,
                      "cannot " + action + " " + path + ": " + std::strerror(error_number));
 }
--- a/src/storage/snapshot_store.cc
+++ b/src/storage/snapshot_store.cc
@@ -86,8 +86,8 @@
   if (metadata.index() <= latest_index_) return;
   try {
     Write(metadata, data);
-  } catch (const StorageError&) {
-    failed_ = true;
+  } catch (const StorageError& error) {
+    failed_ = error.problem() != StorageProblem::kDiskFull;
     throw;
   }
 }
@@ -96,12 +96,22 @@
   const std::string temporary = folder_ + "/" + std::string(kTemporaryName);
   std::string header;
   AppendRecord(header, metadata.SerializeAsString());
+  if (std::exchange(has_temporary_, false)) files_.Remove(temporary);
   {
     File file = files_.Open(temporary);
-    file.Append(header);
-    file.Append(data);
-    file.Sync();
+    has_temporary_ = true;
+    try {
+      file.Append(header);
+      file.Append(data);
+      file.Sync();
+    } catch (const StorageError&) {
+      // Leaves the room to the log.
+      files_.Remove(temporary);
+      has_temporary_ = false;
+      throw;
+    }
   }
+  has_temporary_ = false;
   files_.Rename(temporary, PathOf(metadata.index()));
   files_.SyncFolder(folder_);
   const std::uint64_t previous_index = std::exchange(latest_index_, metadata.index());
--- a/tests/control/member_process.cc
+++ b/tests/control/member_process.cc
@@ -1,10 +1,13 @@
 #include "member_process.h"
 
 #include <fcntl.h>
+#include <gtest/gtest.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -131,6 +134,20 @@
   kill(members_[slot].process, signal);
 }
 
+void MemberProcesses::LimitFileSize(std::size_t slot, std::uint64_t bytes) const {
+  rlimit limit{};
+  ASSERT_EQ(prlimit(members_[slot].process, RLIMIT_FSIZE, nullptr, &limit), 0);
+  limit.rlim_cur = std::min<rlim_t>(bytes, limit.rlim_max);
+  ASSERT_EQ(prlimit(members_[slot].process, RLIMIT_FSIZE, &limit, nullptr), 0);
+}
+
+bool MemberProcesses::Running(std::size_t slot) const {
+  siginfo_t info{};
+  return waitid(P_PID, static_cast<id_t>(members_[slot].process), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == 0;
+}
+
 void MemberProcesses::Kill(std::size_t slot) {
   Member& member = members_[slot];
   if (member.process <= 0) return;
--- a/tests/control/member_process.h
+++ b/tests/control/member_process.h
@@ -32,6 +32,11 @@
   void Signal(std::size_t slot, int signal) const;
   void Kill(std::size_t slot);
   void Restart(std::size_t slot);
+  /// Lets the member write no file beyond this size, as on a disk without room; the member has to
+  /// ignore SIGXFSZ.
+  void LimitFileSize(std::size_t slot, std::uint64_t bytes) const;
+  /// \returns false if the process has ended.
+  [[nodiscard]] bool Running(std::size_t slot) const;
 
   /// Proposes to one member; \returns std::nullopt if the call fails.
   [[nodiscard]] std::optional<schema::ProposeResponse> Propose(std::size_t slot,
--- a/tests/control/member_process_test.cc
+++ b/tests/control/member_process_test.cc
@@ -78,6 +78,39 @@
   EXPECT_GT(applied, 0U);
 }
 
+// Guards against processes that end because their disks have no room, one after another and all at
+// once, against lost writes that were acknowledged meanwhile, and against a group that takes no
+// write once there is room again.
+TEST(MemberProcessTest, GoesOnAfterFullDisks) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  constexpr std::uint64_t kNoLimit = std::numeric_limits<std::uint64_t>::max();
+  MemberProcesses members(3);
+  ASSERT_TRUE(members.Write("first"));
+  std::vector<std::string> applied;
+  for (std::size_t slot = 0; slot < members.size(); ++slot) {
+    members.LimitFileSize(slot, 1);
+    for (int i = 0; i < 5; ++i) {
+      applied.push_back("full-" + std::to_string(slot) + "-" + std::to_string(i));
+      ASSERT_TRUE(members.Write(applied.back()));
+    }
+    EXPECT_TRUE(members.Running(slot));
+    members.LimitFileSize(slot, kNoLimit);
+  }
+  for (std::size_t slot = 0; slot < members.size(); ++slot) members.LimitFileSize(slot, 1);
+  for (std::size_t slot = 0; slot < members.size(); ++slot) {
+    const auto answer = members.Propose(slot, "all-full");
+    EXPECT_TRUE(!answer || answer->status() != Status::STATUS_APPLIED);
+  }
+  for (std::size_t slot = 0; slot < members.size(); ++slot) members.LimitFileSize(slot, kNoLimit);
+  ASSERT_TRUE(members.Write("after"));
+  for (std::size_t slot = 0; slot < members.size(); ++slot) EXPECT_TRUE(members.Running(slot));
+  for (const std::string& operation : applied) {
+    std::uint64_t count = 0;
+    ASSERT_TRUE(members.Write(operation, &count));
+    EXPECT_GE(count, 2U) << operation;
+  }
+}
+
 // Guards against orders from a leader that was paused beyond its lease, and from two leaders at the
 // same time.
 TEST(MemberProcessTest, PausedLeaderSendsNoOrderPastItsLease) {
--- a/tests/control/replicated_node_test.cc
+++ b/tests/control/replicated_node_test.cc
@@ -136,6 +136,35 @@
   EXPECT_EQ(group.failures(*leader), 1);
 }
 
+// Guards against members that end because their disks are full, against acknowledged writes that
+// are on no disk, and against a group that does not go on once there is room.
+TEST(ReplicatedNodeTest, GoesOnAfterFullDisks) {
+  std::vector<std::shared_ptr<storage::MemoryDisk>> disks(3);
+  for (auto& disk : disks) disk = std::make_shared<storage::MemoryDisk>();
+  NodeGroup group(3, 10'000, disks);
+  ASSERT_TRUE(group.WaitLeader());
+  ASSERT_TRUE(group.Write("a"));
+  for (std::size_t full = 0; full < disks.size(); ++full) {
+    disks[full]->set_capacity(0);
+    ASSERT_TRUE(group.Write("one-full-" + std::to_string(full)));
+    disks[full]->set_capacity(UINT64_MAX);
+  }
+  const auto leader = group.WaitLeader();
+  ASSERT_TRUE(leader);
+  for (auto& disk : disks) disk->set_capacity(0);
+  const auto refused = group.node(*leader).Propose(RegisterCommand("all-full"), seconds(1));
+  EXPECT_NE(refused.status(), schema::ProposeResponse::STATUS_APPLIED);
+  for (auto& disk : disks) disk->set_capacity(UINT64_MAX);
+  ASSERT_TRUE(group.Write("after"));
+  for (std::size_t slot = 0; slot < disks.size(); ++slot) {
+    EXPECT_EQ(group.failures(slot), 0);
+    EXPECT_EQ(group.node(slot).status().failure, "");
+    EXPECT_TRUE(Eventually([&] {
+      return group.node(slot).WithState([](const auto& s) { return s.CountOf("after"); }) == 1;
+    }));
+  }
+}
+
 // Guards against two processes that write to one data folder, and against a folder that is used
 // under another member id and so votes twice.
 TEST(ReplicatedNodeTest, DataFolderBelongsToOneMember) {
--- a/tests/storage/snapshot_store_test.cc
+++ b/tests/storage/snapshot_store_test.cc
@@ -55,6 +55,22 @@
   }
 }
 
+// Guards against a full disk after which no snapshot is saved any more, and against a part of one
+// that takes the room that the log needs.
+TEST_F(SnapshotStoreTest, SavesAgainOnceTheDiskHasRoom) {
+  const std::string data(1000, 'a');
+  auto store = Open();
+  for (const std::uint64_t room : {0, 30, 500}) {
+    const std::uint64_t used = disk_->size();
+    disk_->set_capacity(used + room);
+    EXPECT_THROW(store.value().Save(MetadataOf(10 + room, data), data), StorageError);
+    EXPECT_EQ(disk_->size(), used);
+    disk_->set_capacity(UINT64_MAX);
+    store.value().Save(MetadataOf(10 + room, data), data);
+    EXPECT_EQ(store.value().latest_index(), 10 + room);
+  }
+}
+
 // Guards against a snapshot whose renaming was not durable when the process was killed: its
 // successor loaded it and removed the previous one, and a loss of power then left the older one or
 // none. The first process is killed at every step of its work.
