Wait for a listen address that is still in use

What operators saw: a process that does not start, since the process before has not released its port, or an outgoing connection was given it.

Cause: both listeners, HTTP and RPC, gave up at the first failure.

Evidence: IncomingListenTest.WaitsForAnAddressInUse and ClientServerTest.WaitsForAnAddressInUse, in which the address is released after 200 ms.

Change: both try for 5 s, which is less than the time that a stop may take.

--- a/include/briarwood/rpc/server.h
+++ b/include/briarwood/rpc/server.h
@@ -57,6 +57,8 @@
   class Impl;
 
   void HandleRaw(const std::string& method, RawHandler handler);
+  /// \returns an empty string, or why the address cannot be used.
+  std::string Listen(const ServerOptions& options, std::uint16_t port);
   static void ParseOrThrow(const std::string& bytes, google::protobuf::MessageLite& message);
 
   std::unique_ptr<Impl> impl_;
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -14,6 +14,7 @@
 #include <limits>
 #include <list>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "http/impl/read_buffer.h"
@@ -36,6 +37,10 @@
 /// Time in which the first request on a new connection arrives, unless a packet of it is lost
 /// twice.
 constexpr std::chrono::milliseconds kFirstRequestTimeout{500};
+/// Time for which the listen address may still be in use at the start: by the previous process, or
+/// by an outgoing connection that was given this port.
+constexpr std::chrono::milliseconds kListenTimeout{5000};
+constexpr std::chrono::milliseconds kListenRetryDelay{50};
 /// Delay after a failed accept, which usually means that the process has run out of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 
@@ -83,6 +88,7 @@
 
   /// \returns an empty string, or a description of the error.
   std::string Listen();
+  [[nodiscard]] ErrorCode Bind(const Endpoint& endpoint);
   void Accept();
   /// Takes the connections that the kernel has accepted, then accepts no more.
   void StopAccepting();
@@ -583,16 +589,27 @@
 std::string IncomingServer::Impl::Listen() {
   const std::optional<Endpoint> endpoint = ParseEndpoint(options_.listen);
   if (!endpoint) return "listen address \"" + options_.listen + "\" is not of the form ip:port";
-  ErrorCode error;
-  acceptor_.open(endpoint->protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor_.bind(*endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  const auto end = std::chrono::steady_clock::now() + kListenTimeout;
+  ErrorCode error = Bind(*endpoint);
+  while (error == asio::error::address_in_use && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kListenRetryDelay);
+    error = Bind(*endpoint);
+  }
   if (error) return "cannot listen on " + options_.listen + ": " + error.message();
   port_ = acceptor_.local_endpoint().port();
   return {};
 }
 
+ErrorCode IncomingServer::Impl::Bind(const Endpoint& endpoint) {
+  ErrorCode error;
+  if (acceptor_.is_open()) acceptor_.close(error);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  return error;
+}
+
 void IncomingServer::Impl::Accept() {
   acceptor_.async_accept([self = shared_from_this()](const ErrorCode& error, Socket socket) {
     if (self->closed_ || !self->acceptor_.is_open()) return;
--- a/src/rpc/server.cc
+++ b/src/rpc/server.cc
@@ -1,7 +1,9 @@
 #include "briarwood/rpc/server.h"
 
 #include <charconv>
+#include <chrono>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "briarwood/common/base64.h"
@@ -14,6 +16,11 @@
 // Enough for a complete snapshot chunk or configuration document in base64.
 constexpr std::size_t kMaxRequestBytes = std::size_t{16} * 1024 * 1024;
 
+/// Time for which the listen address may still be in use at the start: by the previous process, or
+/// by an outgoing connection that was given this port.
+constexpr std::chrono::milliseconds kListenTimeout{5000};
+constexpr std::chrono::milliseconds kListenRetryDelay{50};
+
 std::optional<std::uint16_t> ParsePort(std::string_view text) {
   std::uint16_t port = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
@@ -73,17 +80,27 @@
   const std::optional<std::uint16_t> port =
       colon == std::string::npos ? std::nullopt : ParsePort(options.listen.substr(colon + 1));
   if (!port) return StartResult::Failure("\"" + options.listen + "\" is not in ip:port form");
+  const auto end = std::chrono::steady_clock::now() + kListenTimeout;
+  for (;;) {
+    std::string problem = Listen(options, *port);
+    if (problem.empty()) return StartResult::Success(impl_->port());
+    if (std::chrono::steady_clock::now() >= end) return StartResult::Failure(std::move(problem));
+    std::this_thread::sleep_for(kListenRetryDelay);
+  }
+}
+
+std::string Server::Listen(const ServerOptions& options, std::uint16_t port) {
   try {
-    impl_->Start({.address = options.listen.substr(0, colon),
-                  .port = *port,
+    impl_->Start({.address = options.listen.substr(0, options.listen.rfind(':')),
+                  .port = port,
                   .credential = options.credential,
                   .tls = {.certificate = options.certificate, .private_key = options.private_key},
                   .threads = options.threads,
                   .max_request_bytes = kMaxRequestBytes});
   } catch (const rpc_connectors::ConnectorError& error) {
-    return StartResult::Failure(error.what());
+    return error.what();
   }
-  return StartResult::Success(impl_->port());
+  return {};
 }
 
 void Server::Stop() { impl_->Stop(); }
--- a/tests/http/incoming_test.cc
+++ b/tests/http/incoming_test.cc
@@ -60,6 +60,27 @@
   std::unique_ptr<IncomingServer> server_;
 };
 
+// Guards against a process that ends at its start because the process before has not released the
+// address yet.
+TEST(IncomingListenTest, WaitsForAnAddressInUse) {
+  EventLoop loop(1);
+  const auto start = [&](std::uint16_t port) {
+    return IncomingServer::Start(loop, {.listen = "127.0.0.1:" + std::to_string(port)},
+                                 [](const std::shared_ptr<IncomingRequest>&) {});
+  };
+  auto previous = start(0);
+  ASSERT_TRUE(previous.ok());
+  const std::uint16_t port = previous.value()->port();
+  std::thread releases([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    previous.value().reset();
+  });
+  const auto next = start(port);
+  releases.join();
+  ASSERT_TRUE(next.ok()) << next.error();
+  EXPECT_EQ(next.value()->port(), port);
+}
+
 // Guards against a planned stop that resets connections in the listen queue, whose requests have
 // been sent in the moment of the stop.
 TEST_F(IncomingStopTest, AnswersConnectionsThatTheKernelHasAccepted) {
--- a/tests/rpc/client_server_test.cc
+++ b/tests/rpc/client_server_test.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <latch>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "briarwood/rpc/client.h"
@@ -99,6 +100,19 @@
   for (auto& call : calls) EXPECT_NO_THROW(call.get());
 }
 
+// Guards against a process that ends at its start because the process before has not released the
+// address yet.
+TEST_F(ClientServerTest, WaitsForAnAddressInUse) {
+  Server next;
+  std::thread releases([this] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    server_.Stop();
+  });
+  const auto started = next.Start({.listen = address_, .credential = "fleet"});
+  releases.join();
+  EXPECT_TRUE(started.ok()) << started.error();
+}
+
 // Guards against a call without a connection being reported as possibly sent.
 TEST_F(ClientServerTest, RefusedConnectionIsCertainlyNotSent) {
   server_.Stop();
