Block signals before options and settings are read

Signals were blocked only after the options and the settings file had been read. The time from the start of the process to its first statement remains.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -77,7 +77,6 @@
                         .text = {},
                         .check_only = values.contains("check")};
   settings.text = ReadTextFile(settings.file_name);
-  PrepareSignals();
   return body(settings);
 }
 
@@ -85,6 +84,8 @@
 
 int RunDaemon(int argc, const char* const* argv, const DaemonInfo& info,
               const std::function<int(const SettingsText&)>& body) {
+  // First, as a SIGHUP ends a process that has not blocked it.
+  PrepareSignals();
   const options::options_description description = MakeDescription();
   options::variables_map values;
   try {
