Limit the bodies that an HTTP server holds in all

Cause: a body was limited for each request only.

Change: the bodies of requests that are being received or handled share 32 MiB. A request whose body does not fit gets 503 with Retry-After: by its Content-Length before the body is read, in chunks as soon as it grows beyond. The bytes are counted until the last user of the body drops it.

Evidence: IncomingLimitTest.RejectsABodyThatDoesNotFitBesideTheOthers; without the limit its fourth caller waits for its body. Parser buffers and streams for slow callers are not part of it.

--- a/include/briarwood/http/incoming.h
+++ b/include/briarwood/http/incoming.h
@@ -73,6 +73,9 @@
   /// A further connection replaces the one that has been idle for the longest time; if requests are
   /// in progress or have arrived on all, it is closed unread.
   std::size_t max_connections = 2000;
+  /// Limit on the bodies of all requests that are being received or handled. A request whose body
+  /// does not fit is rejected with 503 before its body is read further.
+  std::size_t max_buffered_body_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 /// HTTP/1.1 server on one event loop. To be used only on the thread of the loop.
@@ -94,6 +97,8 @@
   [[nodiscard]] std::size_t connections() const noexcept;
   /// Requests whose response has not been passed to the kernel completely.
   [[nodiscard]] std::size_t in_flight() const noexcept;
+  /// Bytes of the bodies of requests that are being received or handled.
+  [[nodiscard]] std::size_t buffered_body_bytes() const noexcept;
 
   /// Adds "Connection: close" to each further response and closes the connection after it.
   void DisableKeepAlive();
--- a/src/http/incoming.cc
+++ b/src/http/incoming.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -50,6 +51,9 @@
 constexpr std::uint16_t kHeaderTooLarge = 431;
 constexpr std::uint16_t kInternalError = 500;
 constexpr std::uint16_t kNotImplemented = 501;
+constexpr std::uint16_t kUnavailable = 503;
+/// Another process may have room at once; this one has it when its callers have sent their bodies.
+constexpr const char* kRetryAfterSeconds = "1";
 
 std::uint16_t StatusOf(const ErrorCode& error) {
   if (error == beast::http::error::header_limit) return kHeaderTooLarge;
@@ -117,6 +121,9 @@
   bool keep_alive_disabled_ = false;
   bool closed_ = false;
   std::size_t in_flight_ = 0;
+  /// Handlers may drop a request, and with it its body, on any thread.
+  std::shared_ptr<std::atomic<std::size_t>> body_bytes_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
   /// Open connections; the idle ones are in the order in which they became idle.
   std::list<std::shared_ptr<IncomingConnection>> busy_;
   std::list<std::shared_ptr<IncomingConnection>> idle_;
@@ -146,6 +153,7 @@
     socket_.close(ignored);
     NotifyDisconnected(cause);
     EndRequest();
+    *server_->body_bytes_ -= std::exchange(reserved_body_bytes_, 0);
     (idle_ ? server_->idle_ : server_->busy_).erase(position_);
   }
 
@@ -176,6 +184,9 @@
   void AwaitReadable();
   void ReadHeader();
   void ReadBody();
+  void ReadBodyPart();
+  /// Counts the body that is being received. \returns false if it does not fit.
+  [[nodiscard]] bool ReserveBody(std::uint64_t bytes);
   void Dispatch();
   void WatchForDisconnect();
   void OnReadable();
@@ -205,6 +216,7 @@
   std::optional<Parser> parser_;
   /// Head of the request whose body is being read.
   RequestHead head_;
+  std::size_t reserved_body_bytes_ = 0;
   std::list<std::shared_ptr<IncomingConnection>>::iterator position_;
 
   common::Time accepted_at_ = common::BootClock::now();
@@ -233,11 +245,11 @@
 class RequestHandle : public IncomingRequest {
  public:
   RequestHandle(std::shared_ptr<IncomingConnection> connection, std::uint64_t number,
-                RequestHead head, std::string body, common::Time arrived_at)
+                RequestHead head, std::shared_ptr<const std::string> body, common::Time arrived_at)
       : connection_(std::move(connection)),
         number_(number),
         head_(std::move(head)),
-        body_(std::make_shared<const std::string>(std::move(body))),
+        body_(std::move(body)),
         arrived_at_(arrived_at) {}
   RequestHandle(const RequestHandle&) = delete;
   RequestHandle& operator=(const RequestHandle&) = delete;
@@ -435,19 +447,41 @@
   if (expect != message.end() && beast::iequals(expect->value(), "100-continue")) {
     Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  if (!ReserveBody(parser_->content_length().value_or(0))) {
+    Reject(kUnavailable);
+    return;
+  }
   SetTimer(server_->limits().idle_timeout, [this] { Reject(kRequestTimeout); });
-  beast::http::async_read(
+  ReadBodyPart();
+}
+
+void IncomingConnection::ReadBodyPart() {
+  beast::http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const ErrorCode& error, std::size_t /*bytes*/) {
         if (self->closed_ || self->close_after_response_) return;
         if (error) {
           IsParseError(error) ? self->Reject(StatusOf(error)) : self->Close();
-          return;
+        } else if (!self->ReserveBody(self->parser_->get().body().size())) {
+          self->Reject(kUnavailable);
+        } else if (self->parser_->is_done()) {
+          self->Dispatch();
+        } else {
+          self->ReadBodyPart();
         }
-        self->Dispatch();
       });
 }
 
+bool IncomingConnection::ReserveBody(std::uint64_t bytes) {
+  if (bytes <= reserved_body_bytes_) return true;
+  const std::uint64_t more = bytes - reserved_body_bytes_;
+  const std::size_t used = *server_->body_bytes_;
+  if (used + more > server_->options_.max_buffered_body_bytes) return false;
+  *server_->body_bytes_ += more;
+  reserved_body_bytes_ += more;
+  return true;
+}
+
 void IncomingConnection::Dispatch() {
   timer_.cancel();
   ++timer_id_;
@@ -461,9 +495,15 @@
   in_request_ = true;
   ++server_->in_flight_;
   const std::uint64_t number = ++request_number_;
-  auto request =
-      std::make_shared<RequestHandle>(shared_from_this(), number, std::move(head_),
-                                      std::move(message.body()), common::BootClock::now());
+  const std::size_t reserved = std::exchange(reserved_body_bytes_, 0);
+  const std::shared_ptr<const std::string> body(
+      new std::string(std::move(message.body())),
+      [total = server_->body_bytes_, reserved](const std::string* bytes) {
+        delete bytes;
+        *total -= reserved;
+      });
+  auto request = std::make_shared<RequestHandle>(shared_from_this(), number, std::move(head_), body,
+                                                 common::BootClock::now());
   if (buffer_.size() == 0) WatchForDisconnect();
   server_->Handle(std::move(request));
 }
@@ -527,7 +567,9 @@
   ++server_->in_flight_;
   ++request_number_;
   response_started_ = false;
-  Respond({.status = status, .reason = {}, .headers = {}}, {});
+  ResponseHead head{.status = status, .reason = {}, .headers = {}};
+  if (status == kUnavailable) head.headers.Add("Retry-After", kRetryAfterSeconds);
+  Respond(head, {});
 }
 
 void IncomingConnection::Send(std::string bytes) {
@@ -689,6 +731,8 @@
 
 std::size_t IncomingServer::in_flight() const noexcept { return impl_->in_flight_; }
 
+std::size_t IncomingServer::buffered_body_bytes() const noexcept { return *impl_->body_bytes_; }
+
 void IncomingServer::DisableKeepAlive() { impl_->keep_alive_disabled_ = true; }
 
 void IncomingServer::CloseIdle() {
--- a/tests/http/endless_input_test.cc
+++ b/tests/http/endless_input_test.cc
@@ -17,6 +17,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using ::testing::AllOf;
 using ::testing::AnyOf;
 using ::testing::HasSubstr;
 using ::testing::Not;
@@ -47,11 +48,14 @@
           {"ExtensionAfterAChunk", "5\r\nhello\r\n5;", std::string(8000, 'x')}};
 }
 
+constexpr std::size_t kSharedBodyBytes = 2'200'000;
+
 class IncomingLimitTest : public testing::Test {
  protected:
   void SetUp() override {
     auto server = IncomingServer::Start(
-        loop_, {.listen = "127.0.0.1:0"}, [this](const std::shared_ptr<IncomingRequest>& request) {
+        loop_, {.listen = "127.0.0.1:0", .max_buffered_body_bytes = kSharedBodyBytes},
+        [this](const std::shared_ptr<IncomingRequest>& request) {
           request->Respond({.status = 200, .reason = {}, .headers = {}}, *request->body());
           const std::string* trailer = request->head().headers.Find("X-Trailer");
           trailer_ = trailer == nullptr ? "none" : *trailer;
@@ -138,6 +142,36 @@
   EXPECT_THAT(call.Finish(), HasSubstr(body));
 }
 
+// Guards against callers that together fill the memory of the process with bodies which are below
+// the limit of one request each, and against room that is not given back.
+TEST_F(IncomingLimitTest, RejectsABodyThatDoesNotFitBesideTheOthers) {
+  const std::string part(700'000, 'b');
+  const std::string sized = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+                            std::to_string(part.size() + 1) + "\r\n\r\n";
+  for (int round = 0; round < 3; ++round) {
+    RawCall first(server_->port(), sized + part);
+    RawCall second(server_->port(), sized + part);
+    std::this_thread::sleep_for(milliseconds(100));
+    RawCall chunked(server_->port(),
+                    "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: "
+                    "chunked\r\n\r\naae60\r\n" +
+                        part + "\r\n");
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_THAT(RawCall(server_->port(), sized).Finish(),
+                AllOf(StartsWith("HTTP/1.1 503"), HasSubstr("Retry-After: 1\r\n")));
+    chunked.Send("0\r\n\r\n");
+    EXPECT_THAT(chunked.Finish(), StartsWith("HTTP/1.1 200"));
+    first.Send("b");
+    EXPECT_THAT(first.Finish(), StartsWith("HTTP/1.1 200"));
+    second.Disconnect();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (server_->buffered_body_bytes() > 0 && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    ASSERT_EQ(server_->buffered_body_bytes(), 0U);
+  }
+}
+
 class EndlessResponseTest : public testing::TestWithParam<EndlessInput> {
  protected:
   /// Calls a server that begins its response with `head` and the parameter's bytes.
