Count the bodies of responses for as long as they are buffered

Cause: the sum of buffered bytes was raised and lowered by hand. A rejection moved its body out of the attempt before the sum was lowered; a failed retry lowered it twice, which a std::min hid.

Evidence: with the old count FaultyBackendTest.CountsTheBodiesOfRejectionsOnlyWhileTheyAreBuffered fails at the third body of 6 MiB.

Change: BufferedBody owns the bytes and their share of the sum; the std::min is gone.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -391,6 +391,7 @@
   attempt_->progress_at = now;
   attempt_->work = work;
   attempt_->connection = std::move(connection);
+  attempt_->body = BufferedBody(owner_.buffered_body_bytes_);
   if (work > 1) {
     attempt_->prompt_work = work;
     owner_.StateOf(service_).prompts.OnSent(work);
@@ -638,19 +639,18 @@
 }
 
 void Exchange::BufferBody(std::string_view data) {
-  if (attempt_->body.size() + data.size() > kMaxBodyBytes ||
-      owner_.buffered_body_bytes_ + data.size() > kMaxBufferedBodyBytes) {
+  const std::size_t size = attempt_->body.bytes().size() + data.size();
+  if (size > kMaxBodyBytes || *owner_.buffered_body_bytes_ + data.size() > kMaxBufferedBodyBytes) {
     owner_.log_.Warn(LogLine("response_too_long")
                          .Add("request", facts_.id)
                          .Add("backend", attempt_->backend_server.value())
-                         .Add("bytes", attempt_->body.size() + data.size())
-                         .Add("buffered", owner_.buffered_body_bytes_)
+                         .Add("bytes", size)
+                         .Add("buffered", *owner_.buffered_body_bytes_)
                          .text());
     OnFailedAttempt(http::CallEnd::kOversized);
     return;
   }
-  attempt_->body += data;
-  owner_.buffered_body_bytes_ += data.size();
+  attempt_->body.Append(data);
 }
 
 void Exchange::OnEvent(const StreamEvent& event) {
@@ -746,14 +746,14 @@
   if (IsSuccess(status)) RecordSoundStart();
   if ((IsServerError(status) || http::PromisesNotRun(status)) && retryable()) {
     const http::ResponseHead head = attempt_->head;
-    const std::string body = attempt_->body;
+    BufferedBody body = std::move(attempt_->body);
     const common::BackendServerId backend_server = attempt_->backend_server;
     ReleaseAttempt(AttemptResult::kSuccess);
     if (TryRetry(/*may_have_run=*/true)) return;
     attempt_.emplace();
     attempt_->backend_server = backend_server;
     attempt_->head = head;
-    attempt_->body = body;
+    attempt_->body = std::move(body);
     Deliver();
     return;
   }
@@ -769,7 +769,7 @@
   }
   if (WithholdFalsePromise()) return;
   http::RemoveConnectionFields(head.headers);
-  request_->Respond(head, attempt_->body);
+  request_->Respond(head, attempt_->body.bytes());
   // An error status in the backend server's own response comes from the application and does not
   // show that the backend server is faulty.
   ReleaseAttempt(AttemptResult::kSuccess);
@@ -837,7 +837,7 @@
 
 void Exchange::OnRejectedAttempt(bool complete) {
   http::ResponseHead head = attempt_->head;
-  std::string body = std::move(attempt_->body);
+  const BufferedBody body = std::move(attempt_->body);
   const bool other = attempt_->facts.is_misdirected;
   owner_.metrics_.CountEvent(other ? "other_backend" : "rejected");
   owner_.log_.Info(LogLine("attempt_rejected")
@@ -876,7 +876,7 @@
     head.headers.Set("Retry-After", owner_.options_.codec.format_retry_after(RetryDelay()));
   }
   const std::uint16_t status = head.status;
-  request_->Respond(head, body);
+  request_->Respond(head, body.bytes());
   End("rejected", status, "backend_rejected");
 }
 
@@ -888,7 +888,6 @@
   const common::Time now = common::BootClock::now();
   ReleasePromptWork(attempt);
   last_progress_at_ = attempt.progress_at;
-  owner_.buffered_body_bytes_ -= std::min(owner_.buffered_body_bytes_, attempt.body.size());
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
   last_version_ = attempt.server_version;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "briarwood/forwarding/event_splitter.h"
+#include "forwarding/impl/buffered_body.h"
 #include "forwarding/impl/forwarder.h"
 
 namespace briarwood::forwarding::impl {
@@ -40,7 +41,7 @@
   std::optional<common::Time> began_at;
   /// The connection has served a previous request.
   bool reused_connection = false;
-  std::string body;
+  BufferedBody body;
   EventSplitter events;
   /// Whole events that are part of the response.
   std::uint64_t event_count = 0;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -172,7 +172,7 @@
   std::optional<common::Time> stop_end_;
   routing::ResponseTimeEstimator response_times_;
   /// Bytes of responses that are buffered until they are complete.
-  std::size_t buffered_body_bytes_ = 0;
+  std::shared_ptr<std::size_t> buffered_body_bytes_ = std::make_shared<std::size_t>(0);
   /// Numbers of the requests that are held until the first configuration is active.
   std::set<std::uint64_t> held_;
 };
--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -115,6 +115,30 @@
   EXPECT_LT(sent_, kMaxTakenBytes);
 }
 
+// Guards against rejections whose bodies stay counted as buffered after they were delivered: in the
+// end each response would be replaced by a failure, until a restart.
+TEST_F(FaultyBackendTest, CountsTheBodiesOfRejectionsOnlyWhileTheyAreBuffered) {
+  constexpr int kRejections = 4;
+  std::atomic<int> calls = 0;
+  FakeBackend backend([&](const auto& connection, const auto& request) {
+    if (++calls > kRejections) {
+      connection.Send(Answer(request, "served"));
+      return;
+    }
+    std::string response =
+        Answer(request, std::string(std::size_t{6} * 1024 * 1024, 'x'), "503 Service Unavailable");
+    connection.Send(response.insert(response.find("\r\n") + 2, "Briarwood-Not-Executed: 1\r\n"));
+  });
+  List("a-1", backend.address());
+  StartReadyEntry();
+  ASSERT_TRUE(Eventually([&] {
+    const std::string response = Call("POST /book/x", "", "{}");
+    EXPECT_THAT(response, Not(StartsWith("HTTP/1.1 502")));
+    return response.ends_with("served") || testing::Test::HasFailure();
+  }));
+  EXPECT_GT(calls, kRejections);
+}
+
 // Guards against the framing of a chunked body without end, on which no limit of body or events
 // applies; both kinds of response are refused as a failed attempt.
 TEST_F(FaultyBackendTest, ClosesAfterFramingWithoutEnd) {
