Limit the body of an agent's probe to 64 KiB

The response of a backend server to GET /load was kept whole, so a faulty server could fill the memory of the agent beside it. What is cut off makes the report unreadable, as a report that is no JSON. No test of its own.

--- a/src/agent/backend_client.cc
+++ b/src/agent/backend_client.cc
@@ -1,5 +1,6 @@
 #include "agent/impl/backend_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace briarwood::agent::impl {
@@ -9,6 +10,7 @@
 // call.
 constexpr std::chrono::milliseconds kCallIdleTimeout{120'000};
 constexpr std::chrono::milliseconds kProbeTimeout{1000};
+constexpr std::size_t kMaxProbeBytes = std::size_t{64} * 1024;
 constexpr std::string_view kJson = "application/json";
 
 http::Headers RunHeaders(const schema::RunRequest& request) {
@@ -71,7 +73,12 @@
   ProbeClient()->SendOnNewConnection(
       "GET", "/load", {}, "",
       {.on_head = [answer](std::uint16_t status, const http::Headers&) { answer->status = status; },
-       .on_data = [answer](std::string_view data) { answer->body.append(data); },
+       .on_data =
+           [answer](std::string_view data) {
+             // A longer body is no load report; what is cut off makes it unreadable.
+             const std::size_t room = kMaxProbeBytes - answer->body.size();
+             answer->body.append(data.substr(0, std::min(room, data.size())));
+           },
        .on_end =
            [answer, done = std::move(done)](const http::CallOutcome& outcome) {
              ProbeResult result;
