Let a stream without a record wait for a current list of servers

Cause: without a record, the entry concluded from its list that there was one version only. The list could be older than the stream.

Evidence: StreamVersionTest.AnUnknownStreamWaitsForACurrentList; before, the entry answered 200 from the old version while it could not read the list. Ruled out: streams with a record, which go on at the version of the record.

Change: the conclusion is drawn only from a list that was read after the request arrived. Until then the request waits, at most half of its time, and is then rejected with 503 and Retry-After; it has not run.

Why it works: a server on which a stream has begun was on the list of the entry that used it before the caller could come back, so a list that is read later names its version.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -934,6 +934,14 @@
     Reject(kUnavailable, "stream_lookup_timeout", RetryDelay());
     return;
   }
+  if (state_ == State::kListWait) {
+    if (owner_.ListIsFrom(request_->arrived_at())) {
+      ResumeUnknownStream();
+    } else if (now >= look_up_until_) {
+      Reject(kUnavailable, "list_not_current", RetryDelay());
+    }
+    return;
+  }
   if ((state_ == State::kLookUp || state_ == State::kQueued || state_ == State::kWaiting) &&
       HasNotRun() && !EndsBeforeStop(now)) {
     Reject(kUnavailable, "stopping", kRetryAfterDelayOnStop);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -81,6 +81,8 @@
     kHeld,
     /// Until the control members answer where the resumed stream began.
     kLookUp,
+    /// Until the list of backend servers has been read after the arrival of the request.
+    kListWait,
     kQueued,
     kRunning,
     /// Until the next attempt may be queued.
@@ -110,6 +112,8 @@
   /// Queues the request for the version at which its stream began, or rejects it if no server of
   /// that version takes requests.
   void Resume(const routing::StreamOrigin& origin);
+  /// Goes on with a stream without a record, if the list and the records name one version only.
+  void ResumeUnknownStream();
   /// Fixes the version at the first event that is delivered.
   void PinVersion();
   /// True if a server can go on with the stream, or probably soon can.
@@ -263,6 +267,8 @@
   std::set<common::BackendServerId> sent_to_;
   /// Software version that the stream requires, once it has begun.
   std::optional<std::string> pinned_version_;
+  /// Versions of the service that have live records, see StreamLookupAnswer.
+  std::set<std::string> recorded_versions_;
   common::Time look_up_until_;
   /// Backend servers that may have run the request.
   std::set<common::BackendServerId> may_have_run_on_;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -93,6 +93,10 @@
 
   /// True if one more request may be held until the first configuration is active.
   [[nodiscard]] bool MayHold() const noexcept;
+  /// True if the list of backend servers was read from the platform at this time or later.
+  [[nodiscard]] bool ListIsFrom(common::Time time) const noexcept {
+    return list_read_at_ && *list_read_at_ >= time;
+  }
   /// Queue and prompt limit of one service.
   struct ServiceState {
     routing::Scheduler scheduler;
--- a/src/forwarding/streams.cc
+++ b/src/forwarding/streams.cc
@@ -56,9 +56,18 @@
     Resume(*answer.origin);
     return;
   }
-  // Without a record, the stream goes on only if no other version can have begun it.
+  recorded_versions_ = {answer.recorded_versions.begin(), answer.recorded_versions.end()};
+  state_ = State::kListWait;
+  if (owner_.ListIsFrom(request_->arrived_at())) ResumeUnknownStream();
+}
+
+void Exchange::ResumeUnknownStream() {
+  state_ = State::kQueued;
+  // Without a record, the stream goes on only if no other version can have begun it. An entry that
+  // was cut off or stood still may not know the server where it began, so the list must be younger
+  // than the request.
   std::set<std::string> versions = owner_.VersionsOf(service_);
-  versions.insert(answer.recorded_versions.begin(), answer.recorded_versions.end());
+  versions.insert(recorded_versions_.begin(), recorded_versions_.end());
   if (versions.size() <= 1) {
     owner_.metrics_.CountEvent("stream_of_only_version");
     Resume({.service = service_, .software_version = versions.empty() ? "" : *versions.begin()});
--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -127,8 +128,11 @@
     options.credential = testing_support::kFleetCredential;
     options.incarnation = common::Incarnation(incarnation);
     options.codec = platform::MakeCodec();
-    options.read_backends = [this] {
+    options.read_backends = [this, id] {
       const std::lock_guard lock(list_mutex_);
+      if (cut_off_.contains(id)) {
+        return common::Result<schema::BackendList>::Failure("cut off");
+      }
       schema::BackendList list = list_;
       distribution::SetListDigest(list);
       return common::Result<schema::BackendList>::Success(std::move(list));
@@ -220,6 +224,8 @@
 
   testing_support::TestControl control_{platform::MakeParser(schema::PlatformSettings())};
   std::mutex list_mutex_;
+  /// Entries that cannot read the list.
+  std::set<std::string> cut_off_;
   schema::BackendList list_;
   std::unique_ptr<FakeBackend> only_backend_;
   std::unique_ptr<ForwardingNode> node_;
--- a/tests/forwarding/stream_version_test.cc
+++ b/tests/forwarding/stream_version_test.cc
@@ -156,6 +156,27 @@
   }
 }
 
+// Guards against an entry that has not read the list since servers of a new version joined, and
+// that lets a stream which began there, and whose record is missing, go on at the version that it
+// knows.
+TEST_F(StreamVersionTest, AnUnknownStreamWaitsForACurrentList) {
+  AddServer("m-1", kOld);
+  break_after_ = 0;
+  Configure();
+  StartEntry("entry/vm-1", 7);
+  EXPECT_THAT(TakeUp(0, "t1", "unknown"), StartsWith("HTTP/1.1 200"));
+  {
+    const std::lock_guard lock(list_mutex_);
+    cut_off_.insert("entry/vm-1");
+  }
+  std::this_thread::sleep_for(kRecordTime);
+  AddServer("m-2", kNew);
+  const std::string response = TakeUp(0, "t2", "unknown");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(response, HasSubstr("Retry-After: "));
+  EXPECT_THAT(Stream(0, "new"), StartsWith("HTTP/1.1 200"));
+}
+
 // Guards against a stream of which nobody knows where it began, and that goes on at a version that
 // may be the wrong one. With a single version there is no doubt.
 TEST_F(StreamVersionTest, AnUnknownStreamGoesOnOnlyWithASingleVersion) {
