--- a/src/control/documents.cc
+++ b/src/control/documents.cc
@@ -69,7 +69,9 @@
   // makes each of them unreadable as a whole.
   if (!common::IsReadable(evaluation.document)) {
     for (const std::string& field : common::InvalidTextFields(evaluation.document)) {
-      evaluation.problems.push_back(document + ": " + field + ": found text that is not UTF-8");
+      std::string problem = document;
+      problem.append(": ").append(field).append(": found text that is not UTF-8");
+      evaluation.problems.push_back(std::move(problem));
     }
     if (evaluation.problems.empty()) {
       evaluation.problems.push_back(document + ": the configuration cannot be read back");
--- a/src/forwarding/impl/buffered_body.h
+++ b/src/forwarding/impl/buffered_body.h
@@ -16,12 +16,12 @@
   /// \param total  sum of the bytes of all buffered bodies
   explicit BufferedBody(std::shared_ptr<std::size_t> total) : total_(std::move(total)) {}
   BufferedBody(BufferedBody&& other) noexcept
-      : bytes_(std::exchange(other.bytes_, {})), total_(other.total_) {}
+      : bytes_(std::exchange(other.bytes_, {})), total_(std::move(other.total_)) {}
   BufferedBody& operator=(BufferedBody&& other) noexcept {
     if (this == &other) return *this;
     Clear();
     bytes_ = std::exchange(other.bytes_, {});
-    total_ = other.total_;
+    total_ = std::move(other.total_);
     return *this;
   }
   BufferedBody(const BufferedBody&) = delete;
--- a/src/routing/crash_properties.cc
+++ b/src/routing/crash_properties.cc
@@ -42,6 +42,7 @@
 std::vector<std::string> CrashProperties(const std::vector<std::string>& prompt_parts,
                                          const RequestIdentity& request) {
   std::vector<std::string> properties;
+  properties.reserve(prompt_parts.size() + 1);
   for (const std::string& part : prompt_parts) {
     // Evidence travels in messages, whose text must be UTF-8; callers choose the ids of parts.
     properties.push_back(common::IsUtf8(part) ? part
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -183,8 +183,9 @@
 }
 
 void LogStore::WriteBuffer() {
-  if (std::exchange(has_partial_tail_, true))
+  if (std::exchange(has_partial_tail_, true)) {
     files_.Truncate(PathOf(active_segment_), synced_bytes_);
+  }
   file_->Append(buffer_);
   has_partial_tail_ = false;
 }
--- a/tests/forwarding/faulty_backend_test.cc
+++ b/tests/forwarding/faulty_backend_test.cc
@@ -148,7 +148,7 @@
   const std::string filler(8000, 'x');
   for (const std::string target : {"/ask/x", "/book/x"}) {
     for (const std::string start : {"5;", "0\r\nX-Junk: "}) {
-      SCOPED_TRACE(target + " " + start);
+      SCOPED_TRACE(testing::Message() << target << " " << start);
       sent_ = 0;
       EXPECT_THAT(CallEndlessBackend(target, head + start, filler), StartsWith("HTTP/1.1 502"));
       EXPECT_LT(sent_, kMaxTakenBytes);
--- a/tests/forwarding/key_check_test.cc
+++ b/tests/forwarding/key_check_test.cc
@@ -5,8 +5,6 @@
 namespace briarwood::forwarding {
 namespace {
 
-using ::testing::StartsWith;
-
 /// Configurations whose list of customers is empty or missing.
 class KeyCheckTest : public ForwardingTest {
  protected:
--- a/tests/http/endless_input_test.cc
+++ b/tests/http/endless_input_test.cc
@@ -20,7 +20,6 @@
 using ::testing::AllOf;
 using ::testing::AnyOf;
 using ::testing::HasSubstr;
-using ::testing::Not;
 using ::testing::StartsWith;
 using testing_support::RawCall;
 using testing_support::RawServer;
@@ -135,7 +134,7 @@
 
 // Guards against a limit on the read buffer that applies to the body.
 TEST_F(IncomingLimitTest, TakesABodyLongerThanTheReadBuffer) {
-  const std::string body(1024 * 1024, 'b');
+  const std::string body(std::size_t{1024} * 1024, 'b');
   RawCall call(server_->port(),
                "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
                    std::to_string(body.size()) + "\r\n\r\n" + body);
--- a/tests/storage/snapshot_store_test.cc
+++ b/tests/storage/snapshot_store_test.cc
@@ -60,7 +60,7 @@
 TEST_F(SnapshotStoreTest, SavesAgainOnceTheDiskHasRoom) {
   const std::string data(1000, 'a');
   auto store = Open();
-  for (const std::uint64_t room : {0, 30, 500}) {
+  for (const std::uint64_t room : {std::uint64_t{0}, std::uint64_t{30}, std::uint64_t{500}}) {
     const std::uint64_t used = disk_->size();
     disk_->set_capacity(used + room);
     EXPECT_THROW(store.value().Save(MetadataOf(10 + room, data), data), StorageError);
