Test the key check on kept connections, resumed streams and beside earlier members

Looked for what is left on related paths: an entry that starts, a delta, a customer left without keys, a connection that stays open, a resumed stream, and members that do not record the check. Found none that runs such a request.

--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -114,13 +114,20 @@
   /// Starts an entry with the list and the control member that all entries of a test share.
   /// \returns the entry, or null after a failure.
   std::unique_ptr<ForwardingNode> MakeEntry(const std::string& id, std::uint64_t incarnation) {
+    return MakeEntry(id, incarnation, control_.address());
+  }
+
+  /// Starts an entry with the list that all entries of a test share.
+  /// \param control  address of its control member
+  std::unique_ptr<ForwardingNode> MakeEntry(const std::string& id, std::uint64_t incarnation,
+                                            const std::string& control) {
     ForwardingNodeOptions options;
     schema::EntrySettings& settings = options.settings;
     settings.mutable_node()->set_id(id);
     settings.mutable_node()->set_failure_domain("east");
     settings.mutable_node()->set_rpc_listen("127.0.0.1:0");
     settings.set_listen("127.0.0.1:0");
-    settings.add_control_rpc(control_.address());
+    settings.add_control_rpc(control);
     settings.mutable_forwarding()->set_ready_listen("127.0.0.1:0");
     settings.mutable_forwarding()->set_usage_window_ms(5000);
     settings.mutable_forwarding()->set_repeat_burst(640);
