Pass the time to the change of the classes of the dispatcher

Cause: Dispatcher::Configure reads the boot clock while all other calls get the time. The test starts at 1,000 s; within the first 1,000 s of a machine the queue was moved to an earlier time, and its requests counted as late. Change: Configure gets the time. The new test uses a time a year ahead of any such machine; the existing one is unchanged.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -61,7 +61,7 @@
 Dispatcher::Dispatcher(common::FailureDomainId near_domain, std::uint64_t seed)
     : random_(seed), placement_({.near_domain = std::move(near_domain), .seed = seed}) {}
 
-void Dispatcher::Configure(const Directory& directory) {
+void Dispatcher::Configure(const Directory& directory, common::Time now) {
   const std::lock_guard lock(mutex_);
   ConfigureBackends(directory);
   weights_.clear();
@@ -79,7 +79,7 @@
   AddRemovedClassesInUse(classes);
   if (!std::equal(classes.begin(), classes.end(), classes_.begin(), classes_.end(), SamePolicy)) {
     classes_ = std::move(classes);
-    ReplaceSchedulers();
+    ReplaceSchedulers(now);
   }
   for (const auto& [key, scheduler] : schedulers_) {
     for (const auto& [id, weight] : weights_) scheduler->SetWeight(common::CustomerId(id), weight);
@@ -110,9 +110,8 @@
   }
 }
 
-void Dispatcher::ReplaceSchedulers() {
+void Dispatcher::ReplaceSchedulers(common::Time now) {
   schedulers_.clear();
-  const common::Time now = common::BootClock::now();
   std::vector<TrackedRequest*> queued;
   for (auto& [id, tracked] : tracked_) {
     // A running request moves to the new scheduler when it is queued again.
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -408,7 +408,7 @@
   }
   if (!rows_changed) return;
   std::shared_ptr<const Directory> updated = Directory::Build(*options_.replica);
-  options_.dispatcher->Configure(*updated);
+  options_.dispatcher->Configure(*updated, common::BootClock::now());
   {
     const std::lock_guard lock(mutex_);
     directory_ = std::move(updated);
--- a/src/entry/impl/dispatcher.h
+++ b/src/entry/impl/dispatcher.h
@@ -45,7 +45,7 @@
   /// \param seed         must differ between entries
   Dispatcher(common::FailureDomainId near_domain, std::uint64_t seed);
 
-  void Configure(const Directory& directory);
+  void Configure(const Directory& directory, common::Time now);
 
   /// Sets the number of entries among which limits without a lease are divided.
   void SetEntryCount(std::size_t entries);
@@ -125,7 +125,7 @@
   void ApplyLoad(const schema::LoadReport& load, common::Time now);
   /// Adds the classes of tracked requests that a change of the configuration removed.
   void AddRemovedClassesInUse(std::vector<routing::ClassPolicy>& classes) const;
-  void ReplaceSchedulers();
+  void ReplaceSchedulers(common::Time now);
   void QueueAgain(TrackedRequest& tracked, std::uint64_t resume_from, common::Time now);
   void TakeFrom(routing::Scheduler& scheduler, common::Time now, DispatchRound& round);
 
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -22,7 +22,8 @@
 /// Dispatcher with engines that run one request each.
 class DispatcherTest : public testing::Test {
  protected:
-  void Configure(const std::vector<schema::RequestClass>& classes, std::uint64_t engines) {
+  void Configure(const std::vector<schema::RequestClass>& classes, std::uint64_t engines,
+                 common::Time now = kStart) {
     schema::SyncResponse response;
     response.set_index(1);
     response.set_full(true);
@@ -40,7 +41,7 @@
     }
     distribution::Replica replica;
     ASSERT_TRUE(replica.Apply(response, kStart));
-    dispatcher_.Configure(*Directory::Build(replica));
+    dispatcher_.Configure(*Directory::Build(replica), now);
   }
 
   [[nodiscard]] std::vector<routing::DroppedRequest> Enqueue(const std::string& id,
@@ -165,6 +166,17 @@
   EXPECT_EQ(dropped_[0].request.id.value(), "r10");
 }
 
+// Guards against a change of the classes that reads the clock of the machine instead of the time
+// that it is given: shortly after a boot, the requests of the queue count as late.
+TEST_F(DispatcherTest, ChangeOfTheClassesKeepsTheTimeOfTheQueue) {
+  const common::Time later = kStart + std::chrono::hours(24 * 365);
+  Configure({Class("question")}, 1, later);
+  ASSERT_TRUE(Enqueue("r1", later).empty());
+  Configure({Class("question", 1)}, 1, later);
+  EXPECT_EQ(Place(later), Ids{"r1"});
+  EXPECT_TRUE(dropped_.empty());
+}
+
 // Guards against a change that removes a class and with it the requests of the class that wait, or
 // are interrupted later.
 TEST_F(DispatcherTest, RemovedClassKeepsItsRequests) {
