Divide the engines of a service between streams with short gaps and prompts

Cause: an engine reads prompts between the steps of its streams. Where a chunk takes long, prompts of lower tiers break the gaps of every stream on their engine. Change: the control leader decides from the streams that entries report how many engines take the streams with the shortest gap target; entries derive which ones from their list. Ruled out: a border that each entry draws by its own streams.

--- a/include/briarwood/control/fleet_view.h
+++ b/include/briarwood/control/fleet_view.h
@@ -10,6 +10,7 @@
 #include "briarwood/common/ids.h"
 #include "briarwood/common/time.h"
 #include "briarwood/membership/liveness_table.h"
+#include "briarwood/routing/division_planner.h"
 #include "briarwood/routing/limit_splitter.h"
 #include "configuration.pb.h"
 #include "fleet.pb.h"
@@ -17,11 +18,12 @@
 namespace briarwood::control {
 
 /// State of the fleet as known to a control member: heartbeats of its children and, through the
-/// leader, of all daemons; the demand of entries; and the shares of customers' limits. Thread-safe.
+/// leader, of all daemons; the demand of entries; the shares of customers' limits; and the
+/// divisions of engines. Thread-safe.
 ///
 /// A member reports its children to the leader once a second and receives the shares for its
-/// entries and the heartbeats of the fleet in return, so that no member communicates with all
-/// daemons.
+/// entries, the divisions and the heartbeats of the fleet in return, so that no member communicates
+/// with all daemons.
 class FleetView {
  public:
   /// Maximum number of loads in one response. At full size an entry routes to 240 backend servers.
@@ -35,7 +37,7 @@
   /// Records heartbeats and demand of a child.
   void OnSync(const schema::SyncRequest& request, common::Time now);
 
-  /// Adds loads, limit shares and the number of entries to the response to an entry.
+  /// Adds loads, limit shares, divisions and the number of entries to the response to an entry.
   void Complete(const schema::SyncRequest& request, schema::SyncResponse& response,
                 common::Time now);
 
@@ -66,6 +68,11 @@
     common::Time granted_at;
     bool sent = false;
   };
+  /// Divisions as the leader decided them.
+  struct CachedDivisions {
+    std::map<std::string, routing::EngineDivision> divisions;
+    common::Time received_at;
+  };
   /// Customer with recent demand at an entry.
   struct ActiveCustomer {
     common::Time last_demand;
@@ -84,6 +91,11 @@
                  common::Time now);
   void AddLoads(const schema::SyncRequest& request, schema::SyncResponse& response,
                 common::Time now);
+  /// On the leader: passes the streams of an entry on to the planner.
+  void RecordStreams(const schema::Heartbeat& heartbeat, common::Time now);
+  /// On the leader: updates the divisions if that is due.
+  void UpdateDivisions(common::Time now);
+  void AddDivisions(schema::SyncResponse& response, common::Time now) const;
   /// \returns the entries that are not dead.
   [[nodiscard]] std::vector<common::NodeId> Entries(common::Time now) const;
 
@@ -94,6 +106,11 @@
   membership::LivenessTable liveness_;
   /// Has a value while this member leads.
   std::optional<routing::LimitSplitter> splitter_;
+  /// Has a value while this member leads.
+  std::optional<routing::DivisionPlanner> planner_;
+  common::Time planned_at_;
+  /// On a follower: the last divisions of the leader.
+  std::optional<CachedDivisions> cached_divisions_;
   /// On the leader: customers with recent demand, by entry and customer.
   std::map<std::string, std::map<common::CustomerId, ActiveCustomer>> active_customers_;
   /// On a follower: latest demand of each child since the last report.
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -14,6 +14,7 @@
 #include "briarwood/common/random.h"
 #include "briarwood/common/time.h"
 #include "briarwood/routing/circuit_breaker.h"
+#include "briarwood/routing/engine_division.h"
 #include "briarwood/routing/peer_comparison.h"
 #include "briarwood/routing/request.h"
 #include "briarwood/routing/running_set.h"
@@ -112,6 +113,8 @@
   bool may_preempt = true;
   /// The class is below its floor: the request may use the headroom of the top tier.
   bool class_below_floor = false;
+  /// Target for the gap between the events of the response; 0 if there is none.
+  std::chrono::milliseconds gap_target{0};
   /// Server that must not be chosen, for example because an attempt on it failed.
   common::BackendServerId avoid;
 };
@@ -140,6 +143,11 @@
   void SetDraining(const common::BackendServerId& id, bool draining);
   /// A server whose agent is unreachable receives no new requests.
   void SetAlive(const common::BackendServerId& id, bool alive);
+  /// Replaces the divisions of services. Services without one are not divided.
+  void SetDivisions(const std::map<std::string, EngineDivision>& divisions);
+  /// \returns the side that takes a request for `service` with this gap target.
+  [[nodiscard]] EngineSide SideOf(const std::string& service,
+                                  std::chrono::milliseconds gap_target) const;
   /// Sets the place of this entry among those that share the limits that servers state.
   void SetFleetPosition(const FleetPosition& position) { position_ = position; }
   /// Applies what a server states about itself in the response to a request that was sent at
@@ -203,6 +211,8 @@
     std::uint64_t hash = 0;
     /// Index of its model or service in `groups_`.
     std::size_t group = 0;
+    /// Part of its service's engines that it belongs to.
+    EngineSide side = EngineSide::kAny;
     std::uint32_t capacity = 1;
     /// Requests of this entry in flight on the server.
     std::uint32_t own_in_flight = 0;
@@ -259,8 +269,22 @@
 
   enum class Fit : std::uint8_t { kNone, kRoom, kPreempt };
 
+  /// Servers of one side that can run requests of a capability.
+  struct PoolKey {
+    Capability capability;
+    /// kAny for the servers of all sides.
+    EngineSide side = EngineSide::kAny;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Capability.
+    friend auto operator<=>(const PoolKey&, const PoolKey&) = default;
+  };
+
+  /// \returns the servers of all sides.
   [[nodiscard]] Pool& PoolOf(const Capability& capability);
-  [[nodiscard]] Pool BuildPool(const Capability& capability) const;
+  [[nodiscard]] Pool& PoolOf(const PoolKey& key);
+  [[nodiscard]] Pool BuildPool(const PoolKey& key) const;
+  /// Assigns the servers of divided services to their sides.
+  void AssignSides();
   [[nodiscard]] std::vector<std::uint32_t> ChooseSubset(std::vector<std::uint32_t> members) const;
   void FillPrefixBuckets(Pool& pool) const;
   void RefreshMeans(common::Time now);
@@ -278,8 +302,15 @@
   /// True if the breaker of every otherwise usable server blocks requests and there is at least one
   /// such server.
   [[nodiscard]] bool AllBreakersOpen(const Pool& pool, common::Time now) const;
+  /// True if a server of the pool takes requests, apart from its load.
+  [[nodiscard]] bool IsInService(const Pool& pool) const;
   [[nodiscard]] std::optional<PlacementChoice> PickFrom(Pool& pool, const PlacementRequest& request,
                                                         common::Time now);
+  /// Picks a server of one side of a divided service. Streams may use the other side if their own
+  /// is full; prompts only if none of their own servers is in service.
+  [[nodiscard]] std::optional<PlacementChoice> PickFromSide(EngineSide side,
+                                                            const PlacementRequest& request,
+                                                            common::Time now);
   [[nodiscard]] Fit FitOf(const Server& server, const PlacementRequest& request,
                           common::Time now) const;
   [[nodiscard]] std::optional<PlacementChoice> PickForTrial(const Pool& pool,
@@ -298,7 +329,8 @@
   common::Random random_;
   std::vector<Server> servers_;
   std::unordered_map<common::BackendServerId, std::uint32_t> index_;
-  std::map<Capability, Pool> pools_;
+  std::map<PoolKey, Pool> pools_;
+  std::map<std::string, EngineDivision> divisions_;
   std::unordered_map<std::string, PeerComparison> peers_;
   std::optional<common::Time> refreshed_at_;
   /// Set during a pick from a pool whose breakers are all open.
--- a/include/briarwood/routing/request.h
+++ b/include/briarwood/routing/request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -54,6 +55,8 @@
   /// in its decode phase. The load of a server is the work of its requests relative to its
   /// capacity.
   double work = 1;
+  /// Target for the gap between the events of the response; 0 if there is none.
+  std::chrono::milliseconds gap_target{0};
   /// Number of attempts that were preempted or whose backend server failed.
   std::uint32_t interruptions = 0;
   /// Runs only on an empty backend server.
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "briarwood/common/digest.h"
+#include "briarwood/distribution/engine_divisions.h"
 
 namespace briarwood::control {
 namespace {
@@ -11,6 +12,11 @@
 // Less than a third of the lease, so that a lease does not expire when one response is lost.
 constexpr std::chrono::milliseconds kRenewalPeriod{1500};
 
+/// Interval between two updates of the divisions of engines.
+constexpr std::chrono::milliseconds kDivisionInterval{500};
+/// Age from which a follower passes divisions on no more, because its leader may be another one.
+constexpr std::chrono::milliseconds kMaxDivisionAge{3000};
+
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -54,12 +60,38 @@
   for (const schema::Heartbeat& heartbeat : request.heartbeats()) {
     children_.Record(heartbeat, now);
     liveness_.Record(heartbeat, now);
+    RecordStreams(heartbeat, now);
   }
   if (request.node().role() == schema::NODE_ROLE_ENTRY) {
     RecordDemand(request.node().id(), request.demand(), now);
   }
 }
 
+void FleetView::RecordStreams(const schema::Heartbeat& heartbeat, common::Time now) {
+  if (!planner_) return;
+  for (const schema::StreamDemand& streams : heartbeat.streams()) {
+    planner_->Report(common::NodeId(heartbeat.node().id()), streams.service(),
+                     distribution::ReadStreams(streams), now);
+  }
+}
+
+void FleetView::UpdateDivisions(common::Time now) {
+  if (!planner_ || now - planned_at_ < kDivisionInterval) return;
+  planned_at_ = now;
+  planner_->Update(now);
+}
+
+void FleetView::AddDivisions(schema::SyncResponse& response, common::Time now) const {
+  if (planner_ && planner_->known(now)) {
+    response.set_divisions_known(true);
+    *response.mutable_divisions() = distribution::ToMessages(planner_->divisions());
+  } else if (!planner_ && cached_divisions_ &&
+             now - cached_divisions_->received_at < kMaxDivisionAge) {
+    response.set_divisions_known(true);
+    *response.mutable_divisions() = distribution::ToMessages(cached_divisions_->divisions);
+  }
+}
+
 void FleetView::RecordDemand(
     const std::string& entry,
     const google::protobuf::RepeatedPtrField<schema::CustomerDemand>& demand, common::Time now) {
@@ -94,6 +126,8 @@
   SetPosition(request.node().id(), Entries(now), response);
   AddLoads(request, response, now);
   AddShares(request, response, now);
+  UpdateDivisions(now);
+  AddDivisions(response, now);
 }
 
 void FleetView::AddShares(const schema::SyncRequest& request, schema::SyncResponse& response,
@@ -140,6 +174,7 @@
 void FleetView::BecomeLeader(common::Time now) {
   const std::lock_guard lock(mutex_);
   splitter_.emplace(now);
+  planner_.emplace(now);
   active_customers_.clear();
   liveness_.StartGrace(now);
   cached_shares_.clear();
@@ -164,6 +199,8 @@
 void FleetView::StopLeading() {
   const std::lock_guard lock(mutex_);
   splitter_.reset();
+  planner_.reset();
+  cached_divisions_.reset();
 }
 
 std::vector<common::NodeId> FleetView::Entries(common::Time now) const {
@@ -216,7 +253,15 @@
   const std::lock_guard lock(mutex_);
   if (!splitter_) return response;
   response.set_leading(true);
-  for (const schema::Heartbeat& heartbeat : report.heartbeats()) liveness_.Record(heartbeat, now);
+  for (const schema::Heartbeat& heartbeat : report.heartbeats()) {
+    liveness_.Record(heartbeat, now);
+    RecordStreams(heartbeat, now);
+  }
+  UpdateDivisions(now);
+  if (planner_->known(now)) {
+    response.set_divisions_known(true);
+    *response.mutable_divisions() = distribution::ToMessages(planner_->divisions());
+  }
   splitter_->SetEntries(Entries(now));
   for (const schema::EntryDemand& item : report.entries()) {
     RecordDemand(item.entry(), item.demand(), now);
@@ -239,6 +284,10 @@
   for (const schema::Heartbeat& heartbeat : response.heartbeats()) {
     liveness_.Record(heartbeat, now);
   }
+  if (response.divisions_known()) {
+    cached_divisions_ = {.divisions = distribution::ReadDivisions(response.divisions()),
+                         .received_at = now};
+  }
   // Counted from the send time, so that a lease never expires later than on the leader.
   for (const schema::EntryLimits& limits : response.entries()) {
     cached_shares_[limits.entry()] = {.shares = {limits.limits().begin(), limits.limits().end()},
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -292,6 +292,19 @@
   return 1 + tokens / kTokensPerWorkUnit;
 }
 
+milliseconds Exchange::GapTarget() const {
+  if (route_->kind() != schema::CALL_KIND_STREAM) return milliseconds(0);
+  return milliseconds(route_->event_gap_target_ms());
+}
+
+routing::PromptLimiter& Exchange::Prompts() {
+  return owner_.StateOf(service_).PromptsOf(owner_.placement_.SideOf(service_, GapTarget()));
+}
+
+routing::PromptLimiter& Exchange::PromptsOf(const Attempt& attempt) {
+  return owner_.StateOf(service_).PromptsOf(attempt.side);
+}
+
 void Exchange::Queue() {
   const common::Time arrived = request_->arrived_at();
   const milliseconds target(route_->target_ms());
@@ -309,6 +322,10 @@
     return;
   }
   in_scheduler_ = true;
+  if (GapTarget() > milliseconds(0)) {
+    counted_as_stream_ = true;
+    owner_.StateOf(service_).gap_classes.OnOpened(GapTarget());
+  }
   owner_.Enqueue(service_, QueuePolicy(), std::move(queued), *this);
 }
 
@@ -321,6 +338,7 @@
   queued.prefix_hash = PrefixHash();
   queued.input_tokens = facts_.prompt_tokens;
   queued.work = Work();
+  queued.gap_target = GapTarget();
   queued.expected_output_tokens =
       static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
   queued.first_token_deadline = request_->arrived_at() + milliseconds(route_->target_ms());
@@ -394,7 +412,8 @@
   attempt_->body = BufferedBody(owner_.buffered_body_bytes_);
   if (work > 1) {
     attempt_->prompt_work = work;
-    owner_.StateOf(service_).prompts.OnSent(work);
+    attempt_->side = owner_.placement_.SideOf(service_, GapTarget());
+    PromptsOf(*attempt_).OnSent(work);
   }
   SendAttempt();
   return true;
@@ -586,16 +605,17 @@
 }
 
 void Exchange::ReleasePromptWork(Attempt& attempt) {
-  owner_.StateOf(service_).prompts.OnDone(std::exchange(attempt.prompt_work, 0));
+  PromptsOf(attempt).OnDone(std::exchange(attempt.prompt_work, 0));
 }
 
 void Exchange::RecordProgress() {
   const common::Time now = common::BootClock::now();
   attempt_->progress_at = now;
   if (attempt_->has_progress) {
-    const milliseconds gap(route_->event_gap_target_ms());
-    if (attempt_->streaming && gap > milliseconds(0)) {
-      owner_.StateOf(service_).prompts.Observe(now - attempt_->last_event_at > gap, 1, now);
+    if (attempt_->streaming && GapTarget() > milliseconds(0)) {
+      const bool late = now - attempt_->last_event_at > GapTarget();
+      had_late_gap_ = had_late_gap_ || late;
+      PromptsOf(*attempt_).Observe(late, 1, now);
     }
     attempt_->last_event_at = now;
     return;
@@ -605,8 +625,7 @@
   if (attempt_->prompt_work > 0) {
     const auto limit = common::FromSeconds(kEngineTargetShare *
                                            common::ToSeconds(milliseconds(route_->target_ms())));
-    owner_.StateOf(service_).prompts.Observe(now - attempt_->started_at > limit, kFirstEventWeight,
-                                             now);
+    PromptsOf(*attempt_).Observe(now - attempt_->started_at > limit, kFirstEventWeight, now);
   }
   ReleasePromptWork(*attempt_);
   if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
@@ -960,7 +979,7 @@
   }
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
     // An unresponsive server must not use up the prompt limit that the other servers share.
-    owner_.StateOf(service_).prompts.Observe(true, kFirstEventWeight, now);
+    PromptsOf(*attempt_).Observe(true, kFirstEventWeight, now);
     ReleasePromptWork(*attempt_);
   }
   if (silent_attempt_ && attempt_->began_at && now - *attempt_->began_at > kMaxOverlap) {
@@ -1049,6 +1068,10 @@
       if (!state.scheduler.Cancel(id())) state.scheduler.Finish(id());
     }
     state.exchanges.erase(id());
+    if (std::exchange(counted_as_stream_, false)) {
+      state.gap_classes.OnEnded(GapTarget(), delivered_events_ > 1, had_late_gap_,
+                                common::BootClock::now());
+    }
     boost::asio::post(owner_.loop_,
                       [&owner = owner_, service = service_] { owner.DispatchQueued(service); });
   }
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -51,6 +51,20 @@
   return placement;
 }
 
+std::string_view NameOf(routing::EngineSide side) {
+  switch (side) {
+    case routing::EngineSide::kAny:
+      return "any";
+    case routing::EngineSide::kStreams:
+      return "streams";
+    case routing::EngineSide::kPrompts:
+      return "prompts";
+    case routing::EngineSide::kDraining:
+      return "draining";
+  }
+  return "unknown";
+}
+
 routing::Scheduler MakeScheduler() {
   routing::SchedulerOptions options;
   options.total_queue_limit = kMaxQueuedRequests;
@@ -234,6 +248,55 @@
                     [&](const auto& item) { return item.second.service == service; }));
 }
 
+routing::ServiceStreams Forwarder::DescribeEngines(const std::string& service) const {
+  routing::ServiceStreams streams;
+  std::set<std::string> domains;
+  for (const schema::ListedBackend& backend : backends_.backends()) {
+    if (backend.service() != service || backend.leaving()) continue;
+    ++streams.engines;
+    streams.slots += backend.slots() == 0 ? kDefaultSlots : backend.slots();
+    domains.insert(backend.failure_domain());
+  }
+  streams.failure_domains = static_cast<std::uint32_t>(domains.size());
+  const auto division = divisions_.find(service);
+  if (division != divisions_.end()) streams.division = division->second;
+  return streams;
+}
+
+std::map<std::string, routing::ServiceStreams> Forwarder::Streams(common::Time now) {
+  std::map<std::string, routing::ServiceStreams> streams;
+  for (auto& [service, state] : services_) {
+    std::vector<routing::GapClass> classes = state.gap_classes.Classes(now);
+    if (classes.empty() && !divisions_.contains(service)) continue;
+    routing::ServiceStreams& described = streams[service];
+    described = DescribeEngines(service);
+    described.classes = std::move(classes);
+  }
+  return streams;
+}
+
+void Forwarder::SetDivisions(const std::map<std::string, routing::EngineDivision>& divisions) {
+  if (divisions == divisions_) return;
+  const auto log = [this](const std::string& service, const routing::EngineDivision& division) {
+    log_.Info(LogLine("engine_division")
+                  .Add("service", service)
+                  .Add("streams", division.stream_engines)
+                  .Add("draining", division.draining_engines)
+                  .Add("max_gap_ms", division.max_gap_target.count())
+                  .text());
+  };
+  for (const auto& [service, division] : divisions_) {
+    if (!divisions.contains(service)) log(service, {});
+  }
+  for (const auto& [service, division] : divisions) {
+    const auto known = divisions_.find(service);
+    if (known == divisions_.end() || known->second != division) log(service, division);
+  }
+  metrics_.CountEvent("engine_division");
+  divisions_ = divisions;
+  placement_.SetDivisions(divisions);
+}
+
 void Forwarder::SetCrashEvidence(const std::vector<schema::CrashEvidence>& rows) {
   std::set<std::string> held;
   for (const schema::CrashEvidence& row : rows) {
@@ -265,9 +328,9 @@
   const auto found = services_.find(service);
   if (found != services_.end()) return found->second;
   return services_
-      .emplace(service, ServiceState{.scheduler = MakeScheduler(),
-                                     .prompts = routing::PromptLimiter(),
-                                     .exchanges = {}})
+      .emplace(service,
+               ServiceState{
+                   .scheduler = MakeScheduler(), .prompts = {}, .gap_classes = {}, .exchanges = {}})
       .first->second;
 }
 
@@ -320,8 +383,9 @@
   ServiceState& state = StateOf(service);
   const common::Time now = common::BootClock::now();
   placement_.Refresh(now);
-  const auto admits = [&state](const routing::QueuedRequest& request, common::Tier tier) {
-    return request.work <= 1 || state.prompts.Admits(request.work, tier);
+  const auto admits = [&](const routing::QueuedRequest& request, common::Tier tier) {
+    const routing::EngineSide side = placement_.SideOf(service, request.gap_target);
+    return request.work <= 1 || state.PromptsOf(side).Admits(request.work, tier);
   };
   while (auto dispatch = routing::NextDispatch(state.scheduler, placement_, now, admits)) {
     const auto found = state.exchanges.find(dispatch->picked.request.id);
@@ -332,17 +396,20 @@
   HandleDropped(state, state.scheduler.TakeDropped());
 }
 
-void Forwarder::LogPromptLimit(const std::string& service, ServiceState& state) {
-  const double limit = state.prompts.limit();
-  const double logged = state.logged_prompt_limit;
+void Forwarder::LogPromptLimit(const std::string& service, ServiceState& state,
+                               routing::EngineSide side) {
+  PromptState& prompts = state.prompts[static_cast<std::size_t>(side)];
+  const double limit = prompts.limiter.limit();
+  const double logged = prompts.logged_limit;
   if (limit > logged / kLoggedLimitChange && limit < logged * kLoggedLimitChange) return;
-  state.logged_prompt_limit = limit;
+  prompts.logged_limit = limit;
   // "limit", "before" and "waiting" are in units of QueuedRequest::work, "queued" in requests.
   log_.Info(LogLine("prompt_limit")
                 .Add("service", service)
+                .Add("side", NameOf(side))
                 .Add("limit", limit)
                 .Add("before", logged)
-                .Add("waiting", state.prompts.waiting())
+                .Add("waiting", prompts.limiter.waiting())
                 .Add("queued", state.scheduler.queued())
                 .text());
 }
@@ -361,7 +428,10 @@
 void Forwarder::Tick(common::Time now) {
   for (const auto& exchange : OpenExchanges()) exchange->CheckTimeouts(now);
   for (auto& [service, state] : services_) {
-    LogPromptLimit(service, state);
+    for (const routing::EngineSide side : {routing::EngineSide::kAny, routing::EngineSide::kStreams,
+                                           routing::EngineSide::kPrompts}) {
+      LogPromptLimit(service, state, side);
+    }
     if (state.scheduler.queued() == 0) continue;
     state.scheduler.DropLate(now);
     DispatchQueued(service);
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -12,6 +12,7 @@
 #include <thread>
 #include <utility>
 
+#include "briarwood/distribution/engine_divisions.h"
 #include "briarwood/distribution/parent_order.h"
 #include "briarwood/distribution/replica.h"
 #include "briarwood/distribution/sync_client.h"
@@ -58,6 +59,8 @@
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
 constexpr unsigned kRpcThreads = 2;
+/// Interval between two counts of the streams for the heartbeat.
+constexpr milliseconds kStreamCountInterval{250};
 /// Descriptors for files, the log, the RPC layer and the listeners.
 constexpr std::uint32_t kReservedDescriptors = 400;
 constexpr std::uint32_t kDefaultDescriptors = 4000;
@@ -292,11 +295,20 @@
     ReportEvidence(now);
     RequestTrial(now);
     SendStreamBatch(now);
+    CountStreams(now);
     if (now - last_usage_transfer_at_ < usage_report_period_) return;
     last_usage_transfer_at_ = now;
     TransferUsage();
   }
 
+  void CountStreams(common::Time now) {
+    if (now - streams_counted_at_ < kStreamCountInterval) return;
+    streams_counted_at_ = now;
+    auto streams = forwarder_.Streams(now);
+    const std::lock_guard lock(streams_mutex_);
+    streams_ = std::move(streams);
+  }
+
   void UpdateReady() {
     const bool ready = !draining_ && forwarder_.has_configuration() && forwarder_.has_backends();
     if (ready_.exchange(ready) == ready) return;
@@ -502,6 +514,10 @@
     *own.mutable_node() = node;
     own.set_index(replica_.index().value());
     own.set_ready(ready_);
+    {
+      const std::lock_guard lock(streams_mutex_);
+      distribution::AddStreams(streams_, own);
+    }
     request.set_wall_unix_ms(proposals::WallClockMillis());
     const common::Time now = common::BootClock::now();
     const std::lock_guard lock(list_mutex_);
@@ -544,6 +560,12 @@
         forwarder_.SetEntries(entries, index, now);
       });
     }
+    if (response.divisions_known()) {
+      boost::asio::post(loop_,
+                        [this, divisions = distribution::ReadDivisions(response.divisions())] {
+                          forwarder_.SetDivisions(divisions);
+                        });
+    }
     if (response.has_backends()) {
       ApplyList(response.backends(), sent_at - milliseconds(response.backends().age_ms()),
                 "control");
@@ -667,6 +689,10 @@
   std::mutex members_mutex_;
   std::vector<std::string> configured_members_ = ToVector(options_.settings.control_rpc());
   std::vector<std::string> reported_members_;
+  common::Time streams_counted_at_;
+  std::mutex streams_mutex_;
+  /// Streams of this entry at the last count.
+  std::map<std::string, routing::ServiceStreams> streams_;
   std::mutex list_mutex_;
   std::optional<common::Time> list_read_at_;
   std::uint64_t list_digest_ = 0;
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -33,6 +33,8 @@
   /// Work, see QueuedRequest::work, that counts against the service's prompt limit until the first
   /// event of the attempt.
   double prompt_work = 0;
+  /// Side of the engines whose prompt limit `prompt_work` counts against.
+  routing::EngineSide side = routing::EngineSide::kAny;
   std::shared_ptr<http::OutgoingConnection> connection;
   http::ResponseHead head;
   ResponseMetadata facts;
@@ -130,6 +132,12 @@
   /// \returns the hash of the longest shared prefix, or 0 if the prompt has no long one.
   [[nodiscard]] std::uint64_t PrefixHash() const;
   [[nodiscard]] double Work() const;
+  /// \returns the target for the gap between the events of a stream; 0 if there is none.
+  [[nodiscard]] std::chrono::milliseconds GapTarget() const;
+  /// \returns the limit of the prompts that wait on the side of the engines that takes the request.
+  [[nodiscard]] routing::PromptLimiter& Prompts();
+  /// \returns the limit that the prompt of an attempt counts against.
+  [[nodiscard]] routing::PromptLimiter& PromptsOf(const Attempt& attempt);
   /// Sends the request to a backend server on which the placement has counted it.
   /// \returns false, without an attempt, if there is no connection to the server.
   [[nodiscard]] bool StartAttempt(const common::BackendServerId& backend_server, common::Tier tier,
@@ -288,6 +296,10 @@
   std::string stream_media_type_;
   bool disconnected_ = false;
   bool usage_counted_ = false;
+  /// The stream counts among those of its gap target, see GapClassCounter.
+  bool counted_as_stream_ = false;
+  /// A gap between two events exceeded the route's target.
+  bool had_late_gap_ = false;
   /// Properties that may crash servers, see routing::CrashProperties.
   std::vector<std::string> crash_properties_;
   /// The request is the trial of a held property.
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,7 +21,9 @@
 #include "briarwood/routing/crash_guard.h"
 #include "briarwood/routing/crash_properties.h"
 #include "briarwood/routing/dispatch.h"
+#include "briarwood/routing/division_planner.h"
 #include "briarwood/routing/forward_table.h"
+#include "briarwood/routing/gap_class_counter.h"
 #include "briarwood/routing/placement.h"
 #include "briarwood/routing/prompt_limiter.h"
 #include "briarwood/routing/response_time_estimator.h"
@@ -62,6 +66,11 @@
   /// \param at  time of this entry's clock to which it belongs
   void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
+  /// Replaces the divisions of the engines of services, as the leader decided them.
+  void SetDivisions(const std::map<std::string, routing::EngineDivision>& divisions);
+  /// \returns the streams of this entry by service, for the leader.
+  [[nodiscard]] std::map<std::string, routing::ServiceStreams> Streams(common::Time now);
+
   /// Replaces the fleet's evidence against properties of requests.
   void SetCrashEvidence(const std::vector<schema::CrashEvidence>& rows);
   [[nodiscard]] routing::CrashGuard& crash_guard() noexcept { return crash_guard_; }
@@ -97,14 +106,23 @@
   [[nodiscard]] bool ListIsFrom(common::Time time) const noexcept {
     return list_read_at_ && *list_read_at_ >= time;
   }
-  /// Queue and prompt limit of one service.
+  /// Prompt limit of one side of the engines of a service.
+  struct PromptState {
+    routing::PromptLimiter limiter{routing::PromptLimiterOptions()};
+    /// Limit in the last log line about it.
+    double logged_limit = routing::PromptLimiterOptions().initial_limit;
+  };
+  /// Queue, prompt limits and streams of one service.
   struct ServiceState {
     routing::Scheduler scheduler;
-    routing::PromptLimiter prompts;
-    /// Prompt limit in the last log line about it.
-    double logged_prompt_limit = routing::PromptLimiterOptions().initial_limit;
+    std::array<PromptState, routing::kEngineSides> prompts;
+    routing::GapClassCounter gap_classes;
     /// Requests that are queued or running, by their id in the scheduler.
     std::map<common::RequestId, Exchange*> exchanges;
+
+    [[nodiscard]] routing::PromptLimiter& PromptsOf(routing::EngineSide side) {
+      return prompts[static_cast<std::size_t>(side)].limiter;
+    }
   };
 
   struct ListedServer {
@@ -144,7 +162,9 @@
   [[nodiscard]] std::set<std::string> VersionsOf(const std::string& service) const;
   /// Tells the guard which server processes have ended without having been announced as leaving.
   void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
-  void LogPromptLimit(const std::string& service, ServiceState& state);
+  void LogPromptLimit(const std::string& service, ServiceState& state, routing::EngineSide side);
+  /// \returns what this entry knows of the engines of a service.
+  [[nodiscard]] routing::ServiceStreams DescribeEngines(const std::string& service) const;
 
   http::EventLoop& loop_;
   ForwarderOptions options_;
@@ -162,6 +182,7 @@
   routing::FleetPosition position_;
   common::Time peak_entries_at_;
   routing::Placement placement_;
+  std::map<std::string, routing::EngineDivision> divisions_;
   routing::ServiceRetryBudget retry_budget_;
   routing::CrashGuard crash_guard_;
   /// Held properties in the last rows of the control members.
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -51,12 +51,13 @@
   if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
   const double work = Work();
   const common::Tier tier = attempt_->tier;
-  if (work > 1 && !owner_.StateOf(service_).prompts.Admits(work, tier)) return;
+  if (work > 1 && !Prompts().Admits(work, tier)) return;
   owner_.placement_.Refresh(now);
   const auto choice = owner_.placement_.Pick({.capability = Capability(),
                                               .tier = tier,
                                               .prefix_hash = PrefixHash(),
                                               .work = work,
+                                              .gap_target = GapTarget(),
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -28,6 +28,7 @@
                                  .alone = request.alone,
                                  .may_preempt = MayPreempt(request, now),
                                  .class_below_floor = class_below_floor,
+                                 .gap_target = request.gap_target,
                                  .avoid = request.avoid},
                                 now);
         return choice.has_value();
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -79,7 +80,38 @@
   for (std::uint32_t index = 0; index < servers_.size(); ++index) {
     index_[servers_[index].description.id] = index;
   }
+  AssignSides();
+}
+
+void Placement::SetDivisions(const std::map<std::string, EngineDivision>& divisions) {
+  if (divisions == divisions_) return;
+  divisions_ = divisions;
+  AssignSides();
+}
+
+void Placement::AssignSides() {
   pools_.clear();
+  for (Server& server : servers_) server.side = EngineSide::kAny;
+  for (const auto& [service, division] : divisions_) {
+    std::vector<std::uint32_t> members;
+    std::vector<EnginePlace> places;
+    for (std::uint32_t index = 0; index < servers_.size(); ++index) {
+      const Server& server = servers_[index];
+      if (server.description.service != service || server.draining) continue;
+      members.push_back(index);
+      places.push_back({.hash = server.hash, .failure_domain = server.description.failure_domain});
+    }
+    const std::vector<std::uint32_t> positions = OrderEngines(places);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      servers_[members[i]].side = division.SideOfEngine(positions[i]);
+    }
+  }
+}
+
+EngineSide Placement::SideOf(const std::string& service,
+                             std::chrono::milliseconds gap_target) const {
+  const auto found = divisions_.find(service);
+  return found == divisions_.end() ? EngineSide::kAny : found->second.SideOfRequest(gap_target);
 }
 
 std::size_t Placement::GroupOf(const BackendDescription& description) {
@@ -100,7 +132,8 @@
   Server* server = Find(id);
   if (server == nullptr) return;
   if (server->draining && !draining) server->backpressure = ServerBackpressure(server->hash);
-  server->draining = draining;
+  if (std::exchange(server->draining, draining) == draining) return;
+  if (divisions_.contains(server->description.service)) AssignSides();
 }
 
 bool Placement::OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
@@ -179,7 +212,7 @@
     server.speed =
         options_.features.slow_detection ? PeersOf(server).Speed(server.description.id, now) : 1;
   }
-  for (auto& [capability, pool] : pools_) RefreshLoads(pool);
+  for (auto& [key, pool] : pools_) RefreshLoads(pool);
 }
 
 void Placement::RefreshMeans(common::Time now) {
@@ -208,18 +241,23 @@
 }
 
 Placement::Pool& Placement::PoolOf(const Capability& capability) {
-  const auto found = pools_.find(capability);
+  return PoolOf(PoolKey{.capability = capability});
+}
+
+Placement::Pool& Placement::PoolOf(const PoolKey& key) {
+  const auto found = pools_.find(key);
   if (found != pools_.end()) return found->second;
-  Pool& pool = pools_[capability];
-  pool = BuildPool(capability);
+  Pool& pool = pools_[key];
+  pool = BuildPool(key);
   RefreshLoads(pool);
   return pool;
 }
 
-Placement::Pool Placement::BuildPool(const Capability& capability) const {
+Placement::Pool Placement::BuildPool(const PoolKey& key) const {
   Pool pool;
   for (std::uint32_t index = 0; index < servers_.size(); ++index) {
-    if (Matches(servers_[index].description, capability)) pool.members.push_back(index);
+    if (key.side != EngineSide::kAny && servers_[index].side != key.side) continue;
+    if (Matches(servers_[index].description, key.capability)) pool.members.push_back(index);
   }
   pool.members = ChooseSubset(std::move(pool.members));
   for (const std::uint32_t member : pool.members) {
@@ -254,16 +292,18 @@
 void Placement::FillPrefixBuckets(Pool& pool) const {
   if (pool.members.empty()) return;
   pool.prefix_buckets.resize(kPrefixBucketCount);
-  std::vector<std::uint32_t> ranked = pool.members;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked(pool.members.size());
   const std::size_t ranks = std::min(kPrefixRanks, ranked.size());
   for (std::size_t bucket = 0; bucket < kPrefixBucketCount; ++bucket) {
     // The seed is not used here, so that all entries map a prefix to the same servers.
+    std::transform(pool.members.begin(), pool.members.end(), ranked.begin(),
+                   [&](std::uint32_t member) {
+                     return std::pair(Mix(bucket, servers_[member].hash), member);
+                   });
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(ranks),
-                      ranked.end(), [&](std::uint32_t left, std::uint32_t right) {
-                        return Mix(bucket, servers_[left].hash) > Mix(bucket, servers_[right].hash);
-                      });
+                      ranked.end(), std::greater<>());
     for (std::size_t rank = 0; rank < kPrefixRanks; ++rank) {
-      pool.prefix_buckets[bucket][rank] = ranked[std::min(rank, ranks - 1)];
+      pool.prefix_buckets[bucket][rank] = ranked[std::min(rank, ranks - 1)].second;
     }
   }
 }
@@ -385,7 +425,33 @@
   return any_open;
 }
 
+bool Placement::IsInService(const Pool& pool) const {
+  return std::any_of(pool.members.begin(), pool.members.end(),
+                     [this](std::uint32_t member) { return IsInService(servers_[member]); });
+}
+
+std::optional<PlacementChoice> Placement::PickFromSide(EngineSide side,
+                                                       const PlacementRequest& request,
+                                                       common::Time now) {
+  Pool& own = PoolOf(PoolKey{.capability = request.capability, .side = side});
+  if (side == EngineSide::kPrompts) {
+    return PickFrom(IsInService(own) ? own : PoolOf(request.capability), request, now);
+  }
+  PlacementRequest without_preemption = request;
+  without_preemption.may_preempt = false;
+  if (auto choice = PickFrom(own, without_preemption, now)) return choice;
+  return PickFrom(PoolOf(request.capability), request, now);
+}
+
 std::optional<PlacementChoice> Placement::Pick(const PlacementRequest& request, common::Time now) {
+  const EngineSide side = SideOf(request.capability.service, request.gap_target);
+  if (side != EngineSide::kAny && !request.alone) {
+    if (auto choice = PickFromSide(side, request, now)) return choice;
+    if (!options_.ignore_breakers_if_all_open ||
+        !AllBreakersOpen(PoolOf(request.capability), now)) {
+      return std::nullopt;
+    }
+  }
   Pool& pool = PoolOf(request.capability);
   if (pool.members.empty()) return std::nullopt;
   auto choice = PickFrom(pool, request, now);
@@ -398,6 +464,7 @@
 
 std::optional<PlacementChoice> Placement::PickFrom(Pool& pool, const PlacementRequest& request,
                                                    common::Time now) {
+  if (pool.members.empty()) return std::nullopt;
   if (request.alone) return PickForTrial(pool, request, now);
   const auto choice = [this](std::uint32_t member, bool preempts) {
     return PlacementChoice{.id = servers_[member].description.id, .expects_preemption = preempts};
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -134,5 +134,60 @@
   EXPECT_FALSE(view.HandleReport({}, now).leading());
 }
 
+schema::SyncRequest MakeStreamRequest(const std::string& entry, std::uint32_t late) {
+  schema::SyncRequest request = MakeRequest(entry);
+  schema::StreamDemand& streams = *request.mutable_heartbeats(0)->add_streams();
+  streams.set_service("llm");
+  streams.set_engines(48);
+  streams.set_slots(48 * 64);
+  streams.set_failure_domains(3);
+  for (const std::uint32_t gap : {300U, 1200U}) {
+    schema::GapClassDemand& demand = *streams.add_classes();
+    demand.set_gap_target_ms(gap);
+    demand.set_open(320);
+    demand.set_ended(100);
+    if (gap == 300) demand.set_late(late);
+  }
+  return request;
+}
+
+// Guards against entries below a follower that divide the engines differently from those below the
+// leader, or not at all.
+TEST(FleetViewTest, AllEntriesGetTheLeadersDivision) {
+  FleetView leader;
+  FleetView follower;
+  StartLeading(leader);
+  common::Time now = kStart + seconds(6);
+  SyncOnce(follower, MakeStreamRequest("entry-1", /*late=*/50), now);
+  const auto report = [&] {
+    const auto response = leader.HandleReport(follower.MakeReport(common::MemberId(2), now), now);
+    follower.HandleReportResponse(response, now, now);
+  };
+  report();
+  const auto below_follower = SyncOnce(follower, MakeStreamRequest("entry-1", 50), now);
+  const auto below_leader = SyncOnce(leader, MakeRequest("entry-2"), now);
+  ASSERT_EQ(below_follower.divisions_size(), 1);
+  ASSERT_EQ(below_leader.divisions_size(), 1);
+  EXPECT_EQ(below_follower.divisions(0).stream_engines(), 10U);
+  EXPECT_EQ(below_leader.divisions(0).SerializeAsString(),
+            below_follower.divisions(0).SerializeAsString());
+}
+
+// Failure: a follower loses its leader, or the leader has just been elected. Guards against entries
+// that end the division because a member does not know it.
+TEST(FleetViewTest, AMemberThatDoesNotKnowTheDivisionsSaysSo) {
+  FleetView leader;
+  FleetView follower;
+  StartLeading(leader);
+  EXPECT_FALSE(SyncOnce(leader, MakeRequest("entry-1"), kStart + seconds(1)).divisions_known());
+  const common::Time now = kStart + seconds(6);
+  EXPECT_TRUE(SyncOnce(leader, MakeRequest("entry-1"), now).divisions_known());
+  EXPECT_FALSE(SyncOnce(follower, MakeRequest("entry-2"), now).divisions_known());
+  follower.HandleReportResponse(
+      leader.HandleReport(follower.MakeReport(common::MemberId(2), now), now), now, now);
+  EXPECT_TRUE(SyncOnce(follower, MakeRequest("entry-2"), now + seconds(2)).divisions_known());
+  EXPECT_FALSE(SyncOnce(follower, MakeRequest("entry-2"), now + seconds(4)).divisions_known());
+}
+
 }  // namespace
 }  // namespace briarwood::control
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -349,5 +349,90 @@
   }
 }
 
+/// Engines of a divided service: two of each failure domain take the streams.
+class DividedPlacementTest : public ::testing::Test {
+ protected:
+  static constexpr milliseconds kShort{300};
+  static constexpr milliseconds kLong{1200};
+
+  void SetUp() override {
+    std::vector<BackendDescription> engines = Engines(12);
+    for (BackendDescription& engine : engines) {
+      engine.model = {};
+      engine.service = "llm";
+    }
+    placement_.SetBackends(engines);
+    placement_.SetDivisions({{"llm", {.stream_engines = 6, .max_gap_target = kShort}}});
+  }
+
+  std::optional<PlacementChoice> Pick(milliseconds gap_target, std::uint32_t tier = 0) {
+    PlacementRequest request{.tier = common::Tier(tier)};
+    request.capability.service = "llm";
+    request.gap_target = gap_target;
+    return placement_.Pick(request, kStart);
+  }
+
+  /// Sends requests until one gets no server.
+  std::map<std::string, int> FillWith(milliseconds gap_target, int limit = 1000) {
+    std::map<std::string, int> sent;
+    for (int i = 0; i < limit; ++i) {
+      const auto choice = Pick(gap_target);
+      if (!choice) break;
+      ++sent[choice->id.value()];
+      placement_.OnSent(choice->id, common::Tier(0), false, kStart);
+    }
+    return sent;
+  }
+
+  Placement placement_{PlacementOptions{}};
+};
+
+// Load: long prompts and streams with short gaps. Guards against an engine that gets both.
+TEST_F(DividedPlacementTest, KeepsPromptsAndStreamsApart) {
+  const auto streams = FillWith(kShort, 6 * 8);
+  const auto prompts = FillWith(kLong);
+  EXPECT_EQ(streams.size(), 6U);
+  EXPECT_EQ(prompts.size(), 6U);
+  for (const auto& [id, count] : streams) EXPECT_FALSE(prompts.contains(id)) << id;
+}
+
+// Load: more streams than their side can run. Guards against streams that are rejected while other
+// engines have room, and against prompts that break the streams in return.
+TEST_F(DividedPlacementTest, StreamsUseTheOtherSideWhenTheirsIsFull) {
+  const auto own = FillWith(kShort, 6 * 8);
+  ASSERT_EQ(own.size(), 6U);
+  const auto overflow = FillWith(kShort, 6);
+  EXPECT_FALSE(overflow.empty());
+  for (const auto& [id, count] : overflow) EXPECT_FALSE(own.contains(id)) << id;
+  placement_.OnEnded(common::BackendServerId(own.begin()->first), common::Tier(0), false);
+  for (const auto& [id, count] : FillWith(kLong)) EXPECT_FALSE(own.contains(id)) << id;
+}
+
+// Failure: all engines of one side are lost at once. Guards against a class without a server while
+// the other side has room.
+TEST_F(DividedPlacementTest, TakesOverForASideThatIsLost) {
+  for (const milliseconds lost : {kShort, kLong}) {
+    std::set<std::string> ids;
+    for (const auto& [id, count] : FillWith(lost, 6 * 8)) ids.insert(id);
+    for (const std::string& id : ids) placement_.SetAlive(common::BackendServerId(id), false);
+    const auto choice = Pick(lost);
+    ASSERT_TRUE(choice) << lost.count();
+    EXPECT_FALSE(ids.contains(choice->id.value()));
+    placement_ = Placement(PlacementOptions{});
+    SetUp();
+  }
+}
+
+// Guards against a division that counts engines that are leaving, which would shrink a side during
+// a release.
+TEST_F(DividedPlacementTest, DoesNotCountDrainingEngines) {
+  const auto before = FillWith(kShort, 6 * 8);
+  placement_.SetDraining(common::BackendServerId(before.begin()->first), true);
+  std::set<std::string> used;
+  for (const auto& [id, count] : FillWith(kShort, 8)) used.insert(id);
+  EXPECT_EQ(used.size(), 1U);
+  EXPECT_FALSE(before.contains(*used.begin()));
+}
+
 }  // namespace
 }  // namespace briarwood::routing
