--- a/include/briarwood/routing/gap_class_counter.h
+++ b/include/briarwood/routing/gap_class_counter.h
@@ -18,7 +18,7 @@
   std::uint32_t open = 0;
   /// Streams that ended within the last seconds.
   std::uint32_t ended = 0;
-  /// Those of them that had a gap above the target.
+  /// Streams whose first gap above the target was within the last seconds.
   std::uint32_t late = 0;
 
   friend bool operator==(const GapClass&, const GapClass&) = default;
@@ -27,14 +27,15 @@
 /// Counts the streams of one service at one entry by their gap target. Not thread-safe.
 class GapClassCounter {
  public:
-  /// Time for which a stream that has ended counts.
+  /// Time for which an end and a late gap count.
   static constexpr std::chrono::seconds kWindow{4};
 
   void OnOpened(std::chrono::milliseconds gap_target);
+  /// Records the first gap of a stream that exceeded the target.
+  void OnLateGap(std::chrono::milliseconds gap_target, common::Time now);
   /// Each call of OnOpened must be followed by one call of OnEnded.
-  /// \param completed  false if the stream ended without showing whether its gaps were in time
-  /// \param late       a gap of the stream exceeded the target
-  void OnEnded(std::chrono::milliseconds gap_target, bool completed, bool late, common::Time now);
+  /// \param had_gaps  false if the stream ended without a gap between two events
+  void OnEnded(std::chrono::milliseconds gap_target, bool had_gaps, common::Time now);
 
   /// \returns the classes with open streams or streams that ended within kWindow, by gap target.
   [[nodiscard]] std::vector<GapClass> Classes(common::Time now);
@@ -53,6 +54,7 @@
   };
 
   [[nodiscard]] static std::int64_t StepNumber(common::Time now);
+  [[nodiscard]] Step& StepAt(std::chrono::milliseconds gap_target, common::Time now);
 
   std::map<std::chrono::milliseconds, State> classes_;
 };
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -16,6 +16,7 @@
 #include "briarwood/routing/circuit_breaker.h"
 #include "briarwood/routing/engine_division.h"
 #include "briarwood/routing/peer_comparison.h"
+#include "briarwood/routing/prompt_backlog.h"
 #include "briarwood/routing/request.h"
 #include "briarwood/routing/running_set.h"
 #include "briarwood/routing/server_backpressure.h"
@@ -115,6 +116,9 @@
   bool class_below_floor = false;
   /// Target for the gap between the events of the response; 0 if there is none.
   std::chrono::milliseconds gap_target{0};
+  /// Target for the first event. Servers of a divided service whose prompts wait too long for it
+  /// are used only if there is no other; 0 uses them like the others.
+  common::Duration first_event_target{};
   /// Server that must not be chosen, for example because an attempt on it failed.
   common::BackendServerId avoid;
 };
@@ -158,6 +162,10 @@
   /// Applies a load sample. A sample older than the last one is ignored.
   void Report(const LoadSample& sample, common::Time now);
   void ObserveTokenGap(const common::BackendServerId& id, common::Duration gap, common::Time now);
+  /// Records that a prompt has waited for its first event for `delay`, or still waits after that
+  /// time.
+  void ObservePromptDelay(const common::BackendServerId& id, common::Duration delay,
+                          common::Time now);
   /// Updates discounts and speeds. Does nothing within 50 ms of the previous update.
   void Refresh(common::Time now);
 
@@ -243,6 +251,7 @@
     double others_smoothed = 0;
     /// Time of the last update of `others_smoothed`.
     common::Time smoothed_at;
+    PromptBacklog backlog;
     CircuitBreaker breaker;
     ServerBackpressure backpressure;
   };
@@ -304,8 +313,12 @@
   [[nodiscard]] bool AllBreakersOpen(const Pool& pool, common::Time now) const;
   /// True if a server of the pool takes requests, apart from its load.
   [[nodiscard]] bool IsInService(const Pool& pool) const;
+  /// Picks a server without a backlog of prompts, or else any.
   [[nodiscard]] std::optional<PlacementChoice> PickFrom(Pool& pool, const PlacementRequest& request,
                                                         common::Time now);
+  [[nodiscard]] std::optional<PlacementChoice> PickByFit(Pool& pool,
+                                                         const PlacementRequest& request,
+                                                         common::Time now);
   /// Picks a server of one side of a divided service. Streams may use the other side if their own
   /// is full; prompts only if none of their own servers is in service.
   [[nodiscard]] std::optional<PlacementChoice> PickFromSide(EngineSide side,
@@ -333,6 +346,8 @@
   std::map<std::string, EngineDivision> divisions_;
   std::unordered_map<std::string, PeerComparison> peers_;
   std::optional<common::Time> refreshed_at_;
+  /// The current pick uses servers with a backlog of prompts like the others.
+  bool ignoring_backlogs_ = false;
   /// Set during a pick from a pool whose breakers are all open.
   bool ignoring_breakers_ = false;
   std::vector<Group> groups_;
--- a/include/briarwood/routing/request.h
+++ b/include/briarwood/routing/request.h
@@ -57,6 +57,8 @@
   double work = 1;
   /// Target for the gap between the events of the response; 0 if there is none.
   std::chrono::milliseconds gap_target{0};
+  /// Target for the first event of a request whose prompt an engine has to read; 0 for others.
+  common::Duration prompt_target{};
   /// Number of attempts that were preempted or whose backend server failed.
   std::uint32_t interruptions = 0;
   /// Runs only on an empty backend server.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -58,6 +58,9 @@
 /// Weight of a first event as an indication of load, relative to that of a gap between events.
 constexpr double kFirstEventWeight = 4;
 
+/// Delay from which a prompt that still waits for its first event is reported to the placement.
+constexpr milliseconds kLongPromptDelay{200};
+
 /// A server that crashes when it begins to write an answer may still send the first event.
 constexpr std::uint64_t kSoundEvents = 2;
 constexpr std::string_view kHeldReason = "crash_property_held";
@@ -297,6 +300,10 @@
   return milliseconds(route_->event_gap_target_ms());
 }
 
+common::Duration Exchange::PromptTarget() const {
+  return route_->prefix_affinity() ? milliseconds(route_->target_ms()) : milliseconds(0);
+}
+
 routing::PromptLimiter& Exchange::Prompts() {
   return owner_.StateOf(service_).PromptsOf(owner_.placement_.SideOf(service_, GapTarget()));
 }
@@ -339,6 +346,7 @@
   queued.input_tokens = facts_.prompt_tokens;
   queued.work = Work();
   queued.gap_target = GapTarget();
+  queued.prompt_target = PromptTarget();
   queued.expected_output_tokens =
       static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
   queued.first_token_deadline = request_->arrived_at() + milliseconds(route_->target_ms());
@@ -613,8 +621,12 @@
   attempt_->progress_at = now;
   if (attempt_->has_progress) {
     if (attempt_->streaming && GapTarget() > milliseconds(0)) {
-      const bool late = now - attempt_->last_event_at > GapTarget();
-      had_late_gap_ = had_late_gap_ || late;
+      const common::Duration gap = now - attempt_->last_event_at;
+      const bool late = gap > GapTarget();
+      if (late && max_gap_ <= GapTarget()) {
+        owner_.StateOf(service_).gap_classes.OnLateGap(GapTarget(), now);
+      }
+      max_gap_ = std::max(max_gap_, gap);
       PromptsOf(*attempt_).Observe(late, 1, now);
     }
     attempt_->last_event_at = now;
@@ -626,6 +638,7 @@
     const auto limit = common::FromSeconds(kEngineTargetShare *
                                            common::ToSeconds(milliseconds(route_->target_ms())));
     PromptsOf(*attempt_).Observe(now - attempt_->started_at > limit, kFirstEventWeight, now);
+    owner_.placement_.ObservePromptDelay(attempt_->backend_server, now - attempt_->started_at, now);
   }
   ReleasePromptWork(*attempt_);
   if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
@@ -977,6 +990,9 @@
     attempt_->connection->PauseReading(false);
     if (!attempt_) return;
   }
+  if (!attempt_->has_progress && now - attempt_->started_at > kLongPromptDelay) {
+    owner_.placement_.ObservePromptDelay(attempt_->backend_server, now - attempt_->started_at, now);
+  }
   if (attempt_->prompt_work > 0 && now - attempt_->started_at > milliseconds(route_->target_ms())) {
     // An unresponsive server must not use up the prompt limit that the other servers share.
     PromptsOf(*attempt_).Observe(true, kFirstEventWeight, now);
@@ -1030,6 +1046,7 @@
   const common::Time now = common::BootClock::now();
   // "sends" is the number of attempts; "first_ms" is the time from the arrival of the request to
   // the start of the response, or -1 if there was none; "events" counts those passed to the caller;
+  // "max_gap_ms" is the longest time between two of them;
   // "silent_ms" is the time since the arrival of the request or the last progress of its last
   // attempt;
   // "list_age_ms" is the age of the list of backend servers.
@@ -1049,6 +1066,7 @@
       .Add("queued_ms", Millis(queued_for_))
       .Add("first_ms", first_byte_at_ ? Millis(*first_byte_at_ - request_->arrived_at()) : -1)
       .Add("events", delivered_events_)
+      .Add("max_gap_ms", Millis(max_gap_))
       .Add("silent_ms", Millis(now - (attempt_ ? attempt_->progress_at : last_progress_at_)))
       .Add("total_ms", Millis(now - request_->arrived_at()))
       .Add("config_index", owner_.table_index_.value());
@@ -1069,8 +1087,7 @@
     }
     state.exchanges.erase(id());
     if (std::exchange(counted_as_stream_, false)) {
-      state.gap_classes.OnEnded(GapTarget(), delivered_events_ > 1, had_late_gap_,
-                                common::BootClock::now());
+      state.gap_classes.OnEnded(GapTarget(), delivered_events_ > 1, common::BootClock::now());
     }
     boost::asio::post(owner_.loop_,
                       [&owner = owner_, service = service_] { owner.DispatchQueued(service); });
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -134,6 +134,8 @@
   [[nodiscard]] double Work() const;
   /// \returns the target for the gap between the events of a stream; 0 if there is none.
   [[nodiscard]] std::chrono::milliseconds GapTarget() const;
+  /// \returns the target for the first event if an engine has to read a prompt; 0 otherwise.
+  [[nodiscard]] common::Duration PromptTarget() const;
   /// \returns the limit of the prompts that wait on the side of the engines that takes the request.
   [[nodiscard]] routing::PromptLimiter& Prompts();
   /// \returns the limit that the prompt of an attempt counts against.
@@ -298,8 +300,8 @@
   bool usage_counted_ = false;
   /// The stream counts among those of its gap target, see GapClassCounter.
   bool counted_as_stream_ = false;
-  /// A gap between two events exceeded the route's target.
-  bool had_late_gap_ = false;
+  /// Longest gap between two events of an attempt.
+  common::Duration max_gap_{};
   /// Properties that may crash servers, see routing::CrashProperties.
   std::vector<std::string> crash_properties_;
   /// The request is the trial of a held property.
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -58,6 +58,7 @@
                                               .prefix_hash = PrefixHash(),
                                               .work = work,
                                               .gap_target = GapTarget(),
+                                              .first_event_target = PromptTarget(),
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -29,6 +29,7 @@
                                  .may_preempt = MayPreempt(request, now),
                                  .class_below_floor = class_below_floor,
                                  .gap_target = request.gap_target,
+                                 .first_event_target = request.prompt_target,
                                  .avoid = request.avoid},
                                 now);
         return choice.has_value();
--- a/src/routing/gap_class_counter.cc
+++ b/src/routing/gap_class_counter.cc
@@ -11,16 +11,23 @@
   ++classes_[gap_target].open;
 }
 
-void GapClassCounter::OnEnded(std::chrono::milliseconds gap_target, bool completed, bool late,
+GapClassCounter::Step& GapClassCounter::StepAt(std::chrono::milliseconds gap_target,
+                                               common::Time now) {
+  const std::int64_t number = StepNumber(now);
+  Step& step = classes_[gap_target].steps[static_cast<std::size_t>(number) % kSteps];
+  if (step.number != number) step = {.number = number};
+  return step;
+}
+
+void GapClassCounter::OnLateGap(std::chrono::milliseconds gap_target, common::Time now) {
+  ++StepAt(gap_target, now).late;
+}
+
+void GapClassCounter::OnEnded(std::chrono::milliseconds gap_target, bool had_gaps,
                               common::Time now) {
   State& state = classes_[gap_target];
   if (state.open > 0) --state.open;
-  if (!completed) return;
-  const std::int64_t number = StepNumber(now);
-  Step& step = state.steps[static_cast<std::size_t>(number) % kSteps];
-  if (step.number != number) step = {.number = number};
-  ++step.ended;
-  if (late) ++step.late;
+  if (had_gaps) ++StepAt(gap_target, now).ended;
 }
 
 std::vector<GapClass> GapClassCounter::Classes(common::Time now) {
@@ -34,7 +41,7 @@
       entry.ended += step.ended;
       entry.late += step.late;
     }
-    if (entry.open == 0 && entry.ended == 0) return true;
+    if (entry.open == 0 && entry.ended == 0 && entry.late == 0) return true;
     classes.push_back(entry);
     return false;
   });
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -197,6 +197,11 @@
   return server != nullptr && PeersOf(*server).IsSlow(id, now);
 }
 
+void Placement::ObservePromptDelay(const common::BackendServerId& id, common::Duration delay,
+                                   common::Time now) {
+  if (Server* server = Find(id)) server->backlog.Observe(delay, now);
+}
+
 void Placement::Refresh(common::Time now) {
   if (refreshed_at_ && now - *refreshed_at_ < kRefreshInterval) return;
   refreshed_at_ = now;
@@ -328,6 +333,9 @@
 Placement::Fit Placement::FitOf(const Server& server, const PlacementRequest& request,
                                 common::Time now) const {
   if (!IsUsable(server, request, now) || server.own_alone > 0) return Fit::kNone;
+  if (!ignoring_backlogs_ && server.backlog.Exceeds(request.first_event_target, now)) {
+    return Fit::kNone;
+  }
   const auto capacity = static_cast<double>(server.capacity);
   double room = capacity;
   if (options_.features.headroom && request.tier.value() > 0 && !request.class_below_floor) {
@@ -465,6 +473,16 @@
 std::optional<PlacementChoice> Placement::PickFrom(Pool& pool, const PlacementRequest& request,
                                                    common::Time now) {
   if (pool.members.empty()) return std::nullopt;
+  const bool divided = divisions_.contains(request.capability.service);
+  ignoring_backlogs_ = !divided || request.first_event_target <= common::Duration(0);
+  auto choice = PickByFit(pool, request, now);
+  if (choice || ignoring_backlogs_) return choice;
+  ignoring_backlogs_ = true;
+  return PickByFit(pool, request, now);
+}
+
+std::optional<PlacementChoice> Placement::PickByFit(Pool& pool, const PlacementRequest& request,
+                                                    common::Time now) {
   if (request.alone) return PickForTrial(pool, request, now);
   const auto choice = [this](std::uint32_t member, bool preempts) {
     return PlacementChoice{.id = servers_[member].description.id, .expects_preemption = preempts};
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -423,6 +423,26 @@
   }
 }
 
+// Load: shared prompt parts make one engine read the prompts of all entries. Guards against prompts
+// that follow there although this entry has seen how long they wait, and against prompts that get
+// no server when all are behind.
+TEST_F(DividedPlacementTest, AvoidsEnginesWhosePromptsWait) {
+  const auto pick = [this] {
+    PlacementRequest request{.tier = common::Tier(0), .prefix_hash = 7};
+    request.capability.service = "llm";
+    request.gap_target = kLong;
+    request.first_event_target = seconds(2);
+    const auto choice = placement_.Pick(request, kStart);
+    return choice ? choice->id.value() : std::string();
+  };
+  const std::string preferred = pick();
+  EXPECT_EQ(pick(), preferred);
+  placement_.ObservePromptDelay(common::BackendServerId(preferred), seconds(3), kStart);
+  EXPECT_NE(pick(), preferred);
+  for (std::size_t i = 0; i < 12; ++i) placement_.ObservePromptDelay(Id(i), seconds(3), kStart);
+  EXPECT_EQ(pick(), preferred);
+}
+
 // Guards against a division that counts engines that are leaving, which would shrink a side during
 // a release.
 TEST_F(DividedPlacementTest, DoesNotCountDrainingEngines) {
