Limit placement by the memory of engines, and read how slow their machines are

Engines with 64 slots have memory for 25 long prompts, and placement knew slots only. EngineMemory keeps what this entry has sent to an engine, with shared parts once, and estimates what other entries hold there. SlownessMean smooths the fourth item of load reports, which made the codec ignore the whole report.

--- a/include/briarwood/forwarding/wire_codec.h
+++ b/include/briarwood/forwarding/wire_codec.h
@@ -61,6 +61,8 @@
   std::uint32_t waiting = 0;
   /// Capacity: number of requests that the backend server can run at the same time.
   std::uint32_t slots = 0;
+  /// How long work takes now, relative to the usual time, if the backend server reports it.
+  std::optional<double> slowness;
 };
 
 /// Values from the header of a backend server's response.
--- a/include/briarwood/routing/dispatch.h
+++ b/include/briarwood/routing/dispatch.h
@@ -22,6 +22,7 @@
 ///   of the backend servers
 [[nodiscard]] std::optional<Dispatch> NextDispatch(
     Scheduler& scheduler, Placement& placement, common::Time now,
-    const std::function<bool(const QueuedRequest&, common::Tier)>& admits = nullptr);
+    const std::function<bool(const QueuedRequest&, common::Tier)>& admits = nullptr,
+    const std::function<void(const QueuedRequest&)>& on_lack_of_memory = nullptr);
 
 }  // namespace briarwood::routing
--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -15,10 +15,14 @@
 #include "briarwood/common/time.h"
 #include "briarwood/routing/circuit_breaker.h"
 #include "briarwood/routing/engine_division.h"
+#include "briarwood/routing/engine_memory.h"
+#include "briarwood/routing/memory_cost.h"
 #include "briarwood/routing/peer_comparison.h"
 #include "briarwood/routing/request.h"
+#include "briarwood/routing/request_sizes.h"
 #include "briarwood/routing/running_set.h"
 #include "briarwood/routing/server_backpressure.h"
+#include "briarwood/routing/slowness_mean.h"
 
 namespace briarwood::routing {
 
@@ -37,6 +41,8 @@
   /// False for an engine whose role is prefill or decode: it executes only that phase of a request.
   bool takes_requests = true;
   std::uint32_t max_concurrency = 1;
+  /// Memory of an engine; 0 if it is unknown, which does not limit the requests.
+  std::uint64_t memory_tokens = 0;
   /// Identifies the lifetime of a server that starts again with the same id; empty if unknown.
   std::string lifetime;
 };
@@ -52,6 +58,10 @@
   /// count is used, which includes requests that have not reached the agent.
   std::optional<std::uint32_t> running_here;
   std::uint32_t capacity = 0;
+  /// How long work takes at the server, relative to the usual time, if it shares its machine and
+  /// reports this. The counts of such a server are used only for its memory: they change many times
+  /// between two reports to an entry.
+  std::optional<double> slowness;
   TierCounts preemptible{};
   /// The agent admits no new requests, because it drains its server or stops. Unlike
   /// Placement::SetDraining, this is the agent's own report.
@@ -107,6 +117,8 @@
   std::uint64_t prefix_hash = 0;
   /// See QueuedRequest::work.
   double work = 1;
+  /// Memory that the request occupies; may be null.
+  const MemoryCost* memory = nullptr;
   /// Runs only on an empty server. All such requests use the same server while it is usable.
   bool alone = false;
   /// Allows a server that has to preempt a request of a lower tier.
@@ -165,15 +177,21 @@
   ///   request of a lower tier; otherwise `std::nullopt`.
   [[nodiscard]] std::optional<PlacementChoice> Pick(const PlacementRequest& request,
                                                     common::Time now);
+  /// \returns true if the last pick found no server and left out one for want of memory.
+  [[nodiscard]] bool LastPickLackedMemory() const noexcept { return last_pick_lacked_memory_; }
+  /// \returns true if the prompt is larger than the memory of every server for `capability`.
+  [[nodiscard]] bool ExceedsMemory(const Capability& capability, const MemoryCost& cost);
 
   /// Counts a request as in flight on `id`. Each call must be followed by one call of OnEnded.
   /// \param work  see QueuedRequest::work; counted until OnWorkDone or OnEnded subtracts it
+  /// \param memory  counted until OnEnded, which must get the same value
   void OnSent(const common::BackendServerId& id, common::Tier tier, bool alone, common::Time now,
-              double work = 1);
+              double work = 1, const MemoryCost& memory = {});
   /// Subtracts part of the work of a request that is still in flight, for example after its
   /// prefill.
   void OnWorkDone(const common::BackendServerId& id, double work);
-  void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone, double work = 1);
+  void OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone, double work = 1,
+               const MemoryCost& memory = {});
   /// Must follow OnEnded if the request did not reach the server, so that it does not count towards
   /// a limit of the server.
   void OnNotSent(const common::BackendServerId& id);
@@ -245,6 +263,10 @@
     common::Time smoothed_at;
     CircuitBreaker breaker;
     ServerBackpressure backpressure;
+    EngineMemory memory;
+    SlownessMean slowness;
+    /// Value of `slowness` at the last update.
+    double slowness_now = 1;
   };
 
   /// Number of servers considered for each prefix, in order of preference.
@@ -265,6 +287,7 @@
     std::string name;
     /// Mean of `others` over the servers; the value to which old samples decay.
     double mean_others = 0;
+    RequestSizes sizes;
   };
 
   enum class Fit : std::uint8_t { kNone, kRoom, kPreempt };
@@ -289,6 +312,7 @@
   void FillPrefixBuckets(Pool& pool) const;
   void RefreshMeans(common::Time now);
   void RefreshLoads(Pool& pool);
+  void RefreshRequestSizes(common::Time now);
   [[nodiscard]] double Load(const Server& server) const noexcept;
   static void UpdateSmoothedOthers(Server& server, common::Time now);
   [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
@@ -311,14 +335,18 @@
   [[nodiscard]] std::optional<PlacementChoice> PickFromSide(EngineSide side,
                                                             const PlacementRequest& request,
                                                             common::Time now);
-  [[nodiscard]] Fit FitOf(const Server& server, const PlacementRequest& request,
-                          common::Time now) const;
+  [[nodiscard]] std::optional<PlacementChoice> PickFromAny(const PlacementRequest& request,
+                                                           common::Time now);
+  /// True if the server has memory for the request.
+  [[nodiscard]] bool HasMemory(const Server& server, const PlacementRequest& request,
+                               common::Time now);
+  [[nodiscard]] Fit FitOf(const Server& server, const PlacementRequest& request, common::Time now);
   [[nodiscard]] std::optional<PlacementChoice> PickForTrial(const Pool& pool,
                                                             const PlacementRequest& request,
                                                             common::Time now) const;
   [[nodiscard]] std::optional<std::uint32_t> PickByPrefix(const Pool& pool,
                                                           const PlacementRequest& request,
-                                                          common::Time now) const;
+                                                          common::Time now);
   [[nodiscard]] std::optional<std::uint32_t> PickBySample(const std::vector<std::uint32_t>& from,
                                                           const PlacementRequest& request, Fit fit,
                                                           common::Time now);
@@ -335,7 +363,9 @@
   std::optional<common::Time> refreshed_at_;
   /// Set during a pick from a pool whose breakers are all open.
   bool ignoring_breakers_ = false;
+  /// Kept when the list of servers changes.
   std::vector<Group> groups_;
+  bool last_pick_lacked_memory_ = false;
   FleetPosition position_;
 };
 
--- a/include/briarwood/routing/request.h
+++ b/include/briarwood/routing/request.h
@@ -8,6 +8,7 @@
 #include "briarwood/common/digest.h"
 #include "briarwood/common/ids.h"
 #include "briarwood/common/time.h"
+#include "briarwood/routing/memory_cost.h"
 
 namespace briarwood::routing {
 
@@ -55,6 +56,8 @@
   /// in its decode phase. The load of a server is the work of its requests relative to its
   /// capacity.
   double work = 1;
+  /// Memory that the request occupies at an engine.
+  MemoryCost memory;
   /// Target for the gap between the events of the response; 0 if there is none.
   std::chrono::milliseconds gap_target{0};
   /// Number of attempts that were preempted or whose backend server failed.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -292,6 +292,18 @@
   return 1 + tokens / kTokensPerWorkUnit;
 }
 
+routing::MemoryCost Exchange::Memory() const {
+  routing::MemoryCost cost;
+  cost.expected_output_tokens = facts_.expected_output_tokens.value_or(facts_.max_output_tokens);
+  for (std::size_t i = 0; i + 1 < facts_.prompt_parts.size(); ++i) {
+    const PromptPart& part = facts_.prompt_parts[i];
+    cost.shared_parts.push_back({.id = common::Hash64(part.id), .tokens = part.tokens});
+  }
+  cost.own_prompt_tokens =
+      facts_.prompt_parts.empty() ? facts_.prompt_tokens : facts_.prompt_parts.back().tokens;
+  return cost;
+}
+
 milliseconds Exchange::GapTarget() const {
   if (route_->kind() != schema::CALL_KIND_STREAM) return milliseconds(0);
   return milliseconds(route_->event_gap_target_ms());
@@ -321,6 +333,12 @@
     Reject(kUnavailable, "servers_limited", RetryDelay());
     return;
   }
+  memory_ = Memory();
+  if (owner_.placement_.ExceedsMemory(Capability(), memory_)) {
+    // Every engine would reject it as if it were full.
+    Reject(kUnavailable, "prompt_exceeds_engine_memory");
+    return;
+  }
   in_scheduler_ = true;
   if (GapTarget() > milliseconds(0)) {
     counted_as_stream_ = true;
@@ -338,6 +356,7 @@
   queued.prefix_hash = PrefixHash();
   queued.input_tokens = facts_.prompt_tokens;
   queued.work = Work();
+  queued.memory = memory_;
   queued.gap_target = GapTarget();
   queued.expected_output_tokens =
       static_cast<double>(facts_.expected_output_tokens.value_or(facts_.max_output_tokens));
@@ -367,13 +386,19 @@
   }
 }
 
+void Exchange::OnLackOfMemory() {
+  if (std::exchange(waited_for_memory_, true)) return;
+  owner_.metrics_.CountEvent("waited_for_memory");
+  ++owner_.StateOf(service_).memory_waits;
+}
+
 void Exchange::OnPlaced(const routing::Dispatch& dispatch) {
   const common::Time now = common::BootClock::now();
   if (queued_at_) queued_for_ += now - *queued_at_;
   queued_at_.reset();
   if (!CheckCrashProperties()) {
     owner_.placement_.OnEnded(dispatch.choice.id, dispatch.picked.tier, /*alone=*/false,
-                              dispatch.picked.request.work);
+                              dispatch.picked.request.work, memory_);
     owner_.placement_.OnNotSent(dispatch.choice.id);
     owner_.placement_.OnNoVerdict(dispatch.choice.id);
     return;
@@ -394,7 +419,7 @@
   const bool needs_new_connection = facts_.id.empty() || sent_to_.contains(backend_server);
   auto connection = owner_.pool_.Acquire(backend_server, now, needs_new_connection);
   if (connection == nullptr) {
-    owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work);
+    owner_.placement_.OnEnded(backend_server, tier, /*alone=*/false, work, memory_);
     owner_.placement_.OnNotSent(backend_server);
     owner_.placement_.OnFull(backend_server, /*alone=*/false, now);
     return false;
@@ -594,7 +619,8 @@
                               .running = facts.load->running + facts.load->waiting,
                               .waiting = facts.load->waiting,
                               .running_here = std::nullopt,
-                              .capacity = facts.load->slots},
+                              .capacity = facts.load->slots,
+                              .slowness = facts.load->slowness},
                              common::BootClock::now());
   }
   attempt_->facts = std::move(facts);
@@ -910,7 +936,8 @@
   if (attempt.connection == nullptr) return;
   last_backend_ = attempt.backend_server;
   last_version_ = attempt.server_version;
-  owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work);
+  owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work,
+                            memory_);
   switch (result) {
     case AttemptResult::kSuccess:
       owner_.placement_.OnSuccess(attempt.backend_server);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -31,6 +31,8 @@
 constexpr std::chrono::seconds kEntryCountPeriod{10};
 /// The prompt limit is logged again once it has risen or fallen by this factor.
 constexpr double kLoggedLimitChange = 1.5;
+/// Interval between log lines about requests of one service that wait for memory.
+constexpr std::chrono::seconds kMemoryLogInterval{1};
 
 routing::PlacementOptions MakePlacementOptions(const ForwarderOptions& options) {
   routing::PlacementOptions placement;
@@ -168,12 +170,14 @@
     if (!present.emplace(id, std::move(server)).second) continue;
     leaving.emplace_back(id, backend.leaving());
     pool_.Set(id, *address, MaxConnections(backend.service()));
+    const schema::Service* service = table_ ? table_->FindService(backend.service()) : nullptr;
     descriptions.push_back(
         {.id = id,
          .failure_domain = common::FailureDomainId(backend.failure_domain()),
          .service = backend.service(),
          .software_version = backend.software_version(),
          .max_concurrency = backend.slots() == 0 ? kDefaultSlots : backend.slots(),
+         .memory_tokens = service == nullptr ? 0 : service->engine().memory_tokens(),
          .lifetime = backend.address() + "/" + std::to_string(backend.started_unix_ms())});
   }
   placement_.SetBackends(descriptions);
@@ -328,9 +332,12 @@
   const auto found = services_.find(service);
   if (found != services_.end()) return found->second;
   return services_
-      .emplace(service,
-               ServiceState{
-                   .scheduler = MakeScheduler(), .prompts = {}, .gap_classes = {}, .exchanges = {}})
+      .emplace(service, ServiceState{.scheduler = MakeScheduler(),
+                                     .prompts = {},
+                                     .gap_classes = {},
+                                     .exchanges = {},
+                                     .memory_waits = 0,
+                                     .memory_waits_logged_at = {}})
       .first->second;
 }
 
@@ -387,7 +394,12 @@
     const routing::EngineSide side = placement_.SideOf(service, request.gap_target);
     return request.work <= 1 || state.PromptsOf(side).Admits(request.work, tier);
   };
-  while (auto dispatch = routing::NextDispatch(state.scheduler, placement_, now, admits)) {
+  const auto on_lack_of_memory = [&state](const routing::QueuedRequest& request) {
+    const auto found = state.exchanges.find(request.id);
+    if (found != state.exchanges.end()) found->second->OnLackOfMemory();
+  };
+  while (auto dispatch =
+             routing::NextDispatch(state.scheduler, placement_, now, admits, on_lack_of_memory)) {
     const auto found = state.exchanges.find(dispatch->picked.request.id);
     if (found == state.exchanges.end()) continue;
     const std::shared_ptr<Exchange> exchange = found->second->shared_from_this();
@@ -414,6 +426,16 @@
                 .text());
 }
 
+void Forwarder::LogMemoryWaits(const std::string& service, ServiceState& state, common::Time now) {
+  if (state.memory_waits == 0 || now - state.memory_waits_logged_at < kMemoryLogInterval) return;
+  state.memory_waits_logged_at = now;
+  log_.Info(LogLine("engine_memory")
+                .Add("service", service)
+                .Add("waited", std::exchange(state.memory_waits, 0))
+                .Add("queued", state.scheduler.queued())
+                .text());
+}
+
 std::vector<std::shared_ptr<Exchange>> Forwarder::OpenExchanges() const {
   std::vector<std::shared_ptr<Exchange>> exchanges;
   exchanges.reserve(exchanges_.size());
@@ -432,6 +454,7 @@
                                            routing::EngineSide::kPrompts}) {
       LogPromptLimit(service, state, side);
     }
+    LogMemoryWaits(service, state, now);
     if (state.scheduler.queued() == 0) continue;
     state.scheduler.DropLate(now);
     DispatchQueued(service);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -67,6 +67,8 @@
   void OnPlaced(const routing::Dispatch& dispatch);
   /// Called when the scheduler has dropped the request.
   void OnDropped(routing::DropReason reason);
+  /// Called when no server had room for the queued request and some lacked only memory.
+  void OnLackOfMemory();
   /// Called when the first configuration with forwarding is active.
   void OnConfiguration();
   /// Called when the control members have answered where the stream began that the request resumes.
@@ -132,6 +134,8 @@
   /// \returns the hash of the longest shared prefix, or 0 if the prompt has no long one.
   [[nodiscard]] std::uint64_t PrefixHash() const;
   [[nodiscard]] double Work() const;
+  /// \returns the memory that the request occupies at an engine.
+  [[nodiscard]] routing::MemoryCost Memory() const;
   /// \returns the target for the gap between the events of a stream; 0 if there is none.
   [[nodiscard]] std::chrono::milliseconds GapTarget() const;
   /// \returns the limit of the prompts that wait on the side of the engines that takes the request.
@@ -296,6 +300,9 @@
   std::string stream_media_type_;
   bool disconnected_ = false;
   bool usage_counted_ = false;
+  bool waited_for_memory_ = false;
+  /// Memory that the request occupies at an engine; set when it is queued first.
+  routing::MemoryCost memory_;
   /// The stream counts among those of its gap target, see GapClassCounter.
   bool counted_as_stream_ = false;
   /// A gap between two events exceeded the route's target.
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -119,6 +119,9 @@
     routing::GapClassCounter gap_classes;
     /// Requests that are queued or running, by their id in the scheduler.
     std::map<common::RequestId, Exchange*> exchanges;
+    /// Requests that have begun to wait for memory of an engine since the last log line about it.
+    std::uint32_t memory_waits = 0;
+    common::Time memory_waits_logged_at;
 
     [[nodiscard]] routing::PromptLimiter& PromptsOf(routing::EngineSide side) {
       return prompts[static_cast<std::size_t>(side)].limiter;
@@ -162,6 +165,7 @@
   [[nodiscard]] std::set<std::string> VersionsOf(const std::string& service) const;
   /// Tells the guard which server processes have ended without having been announced as leaving.
   void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
+  void LogMemoryWaits(const std::string& service, ServiceState& state, common::Time now);
   void LogPromptLimit(const std::string& service, ServiceState& state, routing::EngineSide side);
   /// \returns what this entry knows of the engines of a service.
   [[nodiscard]] routing::ServiceStreams DescribeEngines(const std::string& service) const;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -57,12 +57,13 @@
                                               .tier = tier,
                                               .prefix_hash = PrefixHash(),
                                               .work = work,
+                                              .memory = &memory_,
                                               .gap_target = GapTarget(),
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
   replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
-  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
+  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work, memory_);
   silent_attempt_ = std::exchange(attempt_, std::nullopt);
   if (!StartAttempt(choice->id, tier, work, now)) {
     owner_.retry_budget_.Refund(service_);
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -16,7 +16,8 @@
 
 std::optional<Dispatch> NextDispatch(
     Scheduler& scheduler, Placement& placement, common::Time now,
-    const std::function<bool(const QueuedRequest&, common::Tier)>& admits) {
+    const std::function<bool(const QueuedRequest&, common::Tier)>& admits,
+    const std::function<void(const QueuedRequest&)>& on_lack_of_memory) {
   std::optional<PlacementChoice> choice;
   auto picked = scheduler.PickNext(
       now, [&](const QueuedRequest& request, common::Tier tier, bool class_below_floor) {
@@ -25,16 +26,21 @@
                                  .tier = tier,
                                  .prefix_hash = request.prefix_hash,
                                  .work = request.work,
+                                 .memory = &request.memory,
                                  .alone = request.alone,
                                  .may_preempt = MayPreempt(request, now),
                                  .class_below_floor = class_below_floor,
                                  .gap_target = request.gap_target,
                                  .avoid = request.avoid},
                                 now);
+        if (!choice && on_lack_of_memory && placement.LastPickLackedMemory()) {
+          on_lack_of_memory(request);
+        }
         return choice.has_value();
       });
   if (!picked) return std::nullopt;
-  placement.OnSent(choice->id, picked->tier, picked->request.alone, now, picked->request.work);
+  placement.OnSent(choice->id, picked->tier, picked->request.alone, now, picked->request.work,
+                   picked->request.memory);
   return Dispatch{.picked = std::move(*picked), .choice = std::move(*choice)};
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -59,7 +59,7 @@
 void Placement::SetBackends(const std::vector<BackendDescription>& backends) {
   std::vector<Server> servers;
   servers.reserve(backends.size());
-  groups_.clear();
+  for (Group& group : groups_) group.mean_others = 0;
   refreshed_at_.reset();
   for (const BackendDescription& description : backends) {
     Server* known = Find(description.id);
@@ -72,7 +72,12 @@
         known == nullptr || server.description.lifetime != description.lifetime;
     server.description = description;
     server.hash = common::Hash64(description.id.value());
-    if (is_new_lifetime) server.backpressure = ServerBackpressure(server.hash);
+    if (is_new_lifetime) {
+      server.backpressure = ServerBackpressure(server.hash);
+      server.memory.ForgetReport();
+      server.slowness = {};
+    }
+    server.memory.SetCapacity(description.memory_tokens);
     server.group = GroupOf(description);
   }
   servers_ = std::move(servers);
@@ -159,7 +164,14 @@
   if (!options_.features.load_reports) return;
   server->full_until = {};
   const std::uint32_t here = sample.running_here.value_or(server->own_in_flight);
-  server->others = sample.running > here ? sample.running - here : 0;
+  const std::uint32_t others = sample.running > here ? sample.running - here : 0;
+  server->memory.OnReport(others, now);
+  groups_[server->group].sizes.OnReport(others, now);
+  if (sample.slowness) {
+    server->slowness.Observe(*sample.slowness, now);
+    return;
+  }
+  server->others = others;
   server->others_now = OthersAt(*server, now);
   server->waiting = sample.waiting;
   server->waiting_now = sample.waiting;
@@ -209,12 +221,27 @@
           server.waiting * std::exp2(-age_s / common::ToSeconds(options_.half_life));
     }
     UpdateSmoothedOthers(server, now);
+    server.slowness_now = server.slowness.At(now);
     server.speed =
         options_.features.slow_detection ? PeersOf(server).Speed(server.description.id, now) : 1;
   }
+  RefreshRequestSizes(now);
   for (auto& [key, pool] : pools_) RefreshLoads(pool);
 }
 
+void Placement::RefreshRequestSizes(common::Time now) {
+  std::vector<MemoryUse> in_flight(groups_.size());
+  std::vector<std::size_t> engines(groups_.size());
+  for (const Server& server : servers_) {
+    in_flight[server.group] += server.memory.own();
+    if (IsInService(server)) ++engines[server.group];
+  }
+  for (std::size_t group = 0; group < groups_.size(); ++group) {
+    groups_[group].sizes.Refresh(in_flight[group],
+                                 {.engines = engines[group], .entries = position_.entries}, now);
+  }
+}
+
 void Placement::RefreshMeans(common::Time now) {
   std::vector<double> sampled(groups_.size());
   for (Group& group : groups_) group.mean_others = 0;
@@ -237,7 +264,7 @@
 
 double Placement::Load(const Server& server) const noexcept {
   return (server.own_work + server.others_now + options_.waiting_work * server.waiting_now) /
-         (static_cast<double>(server.capacity) * server.speed);
+         (static_cast<double>(server.capacity) * server.speed) * server.slowness_now;
 }
 
 Placement::Pool& Placement::PoolOf(const Capability& capability) {
@@ -325,8 +352,22 @@
   return request.avoid.value().empty() || server.description.id != request.avoid;
 }
 
+bool Placement::HasMemory(const Server& server, const PlacementRequest& request, common::Time now) {
+  if (request.memory == nullptr) return true;
+  // Requests of the top tier may use what the others leave free.
+  const bool is_top = request.tier.value() == 0;
+  const bool uses_headroom = is_top || request.class_below_floor || !options_.features.headroom;
+  const double headroom = uses_headroom ? 0 : options_.headroom;
+  const RequestSizes& sizes = groups_[server.group].sizes;
+  if (server.memory.Fits(*request.memory, sizes, headroom, /*with_reserve=*/!is_top, now)) {
+    return true;
+  }
+  last_pick_lacked_memory_ = true;
+  return false;
+}
+
 Placement::Fit Placement::FitOf(const Server& server, const PlacementRequest& request,
-                                common::Time now) const {
+                                common::Time now) {
   if (!IsUsable(server, request, now) || server.own_alone > 0) return Fit::kNone;
   const auto capacity = static_cast<double>(server.capacity);
   double room = capacity;
@@ -343,7 +384,7 @@
   const double running = static_cast<double>(server.own_in_flight) +
                          (use_smoothed ? server.others_smoothed : server.others_now);
   if (now < server.full_until) return Fit::kNone;
-  if (running + 1 <= room + 0.5) return Fit::kRoom;
+  if (running + 1 <= room + 0.5) return HasMemory(server, request, now) ? Fit::kRoom : Fit::kNone;
   if (!options_.features.preemption || !request.may_preempt || server.speed < 1) {
     return Fit::kNone;
   }
@@ -368,7 +409,7 @@
 
 std::optional<std::uint32_t> Placement::PickByPrefix(const Pool& pool,
                                                      const PlacementRequest& request,
-                                                     common::Time now) const {
+                                                     common::Time now) {
   if (!options_.features.prefix_affinity || request.prefix_hash == 0) return std::nullopt;
   const double mean = pool.total_load / static_cast<double>(pool.members.size());
   for (const std::uint32_t member : pool.prefix_buckets[request.prefix_hash % kPrefixBucketCount]) {
@@ -443,7 +484,24 @@
   return PickFrom(PoolOf(request.capability), request, now);
 }
 
+bool Placement::ExceedsMemory(const Capability& capability, const MemoryCost& cost) {
+  const Pool& pool = PoolOf(capability);
+  return !pool.members.empty() &&
+         std::all_of(pool.members.begin(), pool.members.end(), [&](std::uint32_t member) {
+           const double capacity = servers_[member].memory.capacity();
+           return capacity > 0 && static_cast<double>(cost.PromptTokens()) > capacity;
+         });
+}
+
 std::optional<PlacementChoice> Placement::Pick(const PlacementRequest& request, common::Time now) {
+  last_pick_lacked_memory_ = false;
+  auto choice = PickFromAny(request, now);
+  if (choice) last_pick_lacked_memory_ = false;
+  return choice;
+}
+
+std::optional<PlacementChoice> Placement::PickFromAny(const PlacementRequest& request,
+                                                      common::Time now) {
   const EngineSide side = SideOf(request.capability.service, request.gap_target);
   if (side != EngineSide::kAny && !request.alone) {
     if (auto choice = PickFromSide(side, request, now)) return choice;
@@ -486,9 +544,11 @@
 }
 
 void Placement::OnSent(const common::BackendServerId& id, common::Tier tier, bool alone,
-                       common::Time now, double work) {
+                       common::Time now, double work, const MemoryCost& memory) {
   Server* server = Find(id);
   if (server == nullptr) return;
+  server->memory.OnSent(memory);
+  groups_[server->group].sizes.OnSent(memory, now);
   ++server->own_in_flight;
   server->own_work += work;
   ++server->own_by_tier[TierSlot(tier)];
@@ -502,9 +562,11 @@
 }
 
 void Placement::OnEnded(const common::BackendServerId& id, common::Tier tier, bool alone,
-                        double work) {
+                        double work, const MemoryCost& memory) {
   Server* server = Find(id);
   if (server == nullptr) return;
+  server->memory.OnEnded(memory);
+  groups_[server->group].sizes.OnEnded(memory);
   if (server->own_in_flight > 0) --server->own_in_flight;
   server->own_work = server->own_in_flight == 0 ? 0 : std::max(0.0, server->own_work - work);
   std::uint32_t& count = server->own_by_tier[TierSlot(tier)];
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -71,6 +71,31 @@
   EXPECT_GT(load->running + load->waiting, load->running);
 }
 
+// Guards against a load that is lost because a server adds items to its report, and against a
+// speed that is made up from a malformed one.
+TEST(CodecTest, ReadsLoadReportsWithFurtherItems) {
+  const auto read = [](const char* value) {
+    http::ResponseHead head;
+    head.headers.Add("Briarwood-Load-Report", value);
+    return MakeCodec().read_response(head).load;
+  };
+  ASSERT_TRUE(read("3,1,8"));
+  EXPECT_FALSE(read("3,1,8")->slowness);
+  for (const char* text : {"3,1,8,250", "3, 1, 8, 250", "3,1,8,250,7", "3,1,8,250,x"}) {
+    const auto load = read(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_EQ(load->slots, 8U);
+    EXPECT_EQ(load->slowness, 2.5);
+  }
+  EXPECT_EQ(read("3,1,8,62.5")->slowness, 0.625);
+  for (const char* text : {"", "3,1", "3,1,8,x", "3,1,8,-5", "3,1,8,0", "3,1,8,nan", "3,1,8,,7",
+                           "x,1,8,100", "3,1,8x,100"}) {
+    EXPECT_FALSE(read(text)) << text;
+  }
+}
+
 // Guards against what a server states about itself being missed or misread, and against values that
 // would keep a server unused for ever.
 TEST(CodecTest, ReadsWhatAServerStates) {
