Let a loaded leader report usage with a short election timeout

Cause: a leader calls the platform only while its lease lasts for 150 ms more. With an election timeout of 300 ms the lease is 294 ms, so a majority must have acknowledged a round that was sent within the last 144 ms. Under load the acknowledgements take longer, while the leader keeps its leadership. The duties looked every 250 ms and did nothing at the moments between; no call was made for 15 s, and nothing was logged. Change: the margin is a quarter of the election timeout, which is the old one for the default of 600 ms, and the duties wait up to 250 ms for the next acknowledged round. A new leader still waits for a whole election timeout before its first call, so two leaders cannot overlap: at 300 ms, 380 ms remain between the last call of the one and the first of the other. RaftTest.SlowAcknowledgementsLeaveTimeForOrdersWithAShortElectionTimeout fails with 150 ms. Consensus tests 10 of 10; ReplicatedNodeTest, LeaderDutiesTest and ControlDaemonTest 19 of 19.

--- a/include/briarwood/consensus/options.h
+++ b/include/briarwood/consensus/options.h
@@ -17,8 +17,6 @@
   common::Duration election_timeout = std::chrono::milliseconds(600);
   /// Maximum relative rate error of a member's clock.
   double max_clock_drift = 0.01;
-  /// Orders are sent only while the lease remains valid for longer than this.
-  common::Duration send_margin = std::chrono::milliseconds(150);
 
   /// Lease duration, counted from the time at which the leader sent the latest round (see Raft)
   /// that a majority has acknowledged. It is shorter than the election timeout by both rate errors,
@@ -28,6 +26,10 @@
                                (1 + max_clock_drift));
   }
 
+  /// Orders are sent only while the lease remains valid for longer than this. A fixed margin would
+  /// leave a group with a short election timeout hardly any time in which a loaded leader may send.
+  [[nodiscard]] common::Duration send_margin() const noexcept { return election_timeout / 4; }
+
   /// Delay after which a new leader can rely on the lease of any previous leader having ended.
   [[nodiscard]] common::Duration new_leader_delay() const noexcept {
     return common::FromSeconds(common::ToSeconds(election_timeout) * (1 + max_clock_drift) /
--- a/include/briarwood/control/leader_duties.h
+++ b/include/briarwood/control/leader_duties.h
@@ -18,8 +18,8 @@
 /// Functions of the control member that LeaderDuties uses. Every function may block.
 struct DutyContext {
   std::function<schema::ProposeResponse(const schema::Command& command)> propose;
-  /// \returns true while this member leads and its lease lasts for at least the send margin. Reads
-  /// the clock at each call.
+  /// \returns true while this member leads and its lease lasts for at least the send margin; a
+  /// leader may wait for that. Reads the clock at each call.
   std::function<bool()> may_send;
   /// \returns the term of this member's leadership, which is the fencing token of its requests to
   /// the platform.
--- a/include/briarwood/control/replicated_node.h
+++ b/include/briarwood/control/replicated_node.h
@@ -76,6 +76,10 @@
   [[nodiscard]] bool MaySendOrders(common::Time now) const {
     return OrderFencingToken(now).has_value();
   }
+  /// Waits until MaySendOrders is true, for as long as this member leads. The lease of a loaded
+  /// leader is long enough only for a moment after each acknowledged round.
+  /// \returns false after `timeout`, or once this member does not lead.
+  [[nodiscard]] bool WaitToSendOrders(std::chrono::milliseconds timeout) const;
   /// \returns the fencing token of orders sent now, or std::nullopt if MaySendOrders is false.
   [[nodiscard]] std::optional<common::Term> OrderFencingToken(common::Time now) const;
   [[nodiscard]] NodeStatus status() const;
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -42,6 +42,8 @@
 constexpr std::size_t kRoomToStartBytes = std::size_t{64} * 1024;
 constexpr milliseconds kRoomPollInterval{100};
 constexpr milliseconds kDutyPeriod{250};
+/// Several rounds of heartbeats.
+constexpr milliseconds kMaxSendWait{250};
 constexpr milliseconds kReportPeriod{1000};
 constexpr milliseconds kReportTimeout{800};
 constexpr milliseconds kProposeTimeout{2000};
@@ -700,18 +702,17 @@
     const std::string& url = options_.settings.platform_url();
     if (!options_.platform && !url.empty()) platform = MakeHttpPlatform(url);
     duties_.emplace(
-        DutyContext{
-            .propose =
-                [this](const schema::Command& command) {
-                  return node_->Propose(command, kProposeTimeout);
-                },
-            .may_send = [this] { return node_->MaySendOrders(common::TimerService::Now()); },
-            .fence = [this] { return node_->status().term; },
-            .read_state = [this](const auto& read) { ReadState(read); },
-            .wall_clock = [this] { return AgreedWallClock(); },
-            .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); },
-            .report_retry_delay = kUsageReportRetryDelay,
-            .holder_change = milliseconds(options_.settings.platform().holder_change_ms())},
+        DutyContext{.propose =
+                        [this](const schema::Command& command) {
+                          return node_->Propose(command, kProposeTimeout);
+                        },
+                    .may_send = [this] { return node_->WaitToSendOrders(kMaxSendWait); },
+                    .fence = [this] { return node_->status().term; },
+                    .read_state = [this](const auto& read) { ReadState(read); },
+                    .wall_clock = [this] { return AgreedWallClock(); },
+                    .take_dead = [this] { return fleet_.TakeDead(common::TimerService::Now()); },
+                    .report_retry_delay = kUsageReportRetryDelay,
+                    .holder_change = milliseconds(options_.settings.platform().holder_change_ms())},
         std::move(platform));
   }
 
--- a/src/control/replicated_node.cc
+++ b/src/control/replicated_node.cc
@@ -55,6 +55,7 @@
   bool ConfirmRead(milliseconds timeout);
   std::optional<Confirmation> confirmation() const;
   std::optional<common::Term> OrderFencingToken(Time now) const;
+  bool WaitToSendOrders(milliseconds timeout) const;
   NodeStatus status() const;
 
   Applier& applier() { return *applier_; }
@@ -70,6 +71,7 @@
   /// Requests a confirmed read point from the leader.
   std::optional<ReadPoint> ReadIndexFromLeader(milliseconds timeout);
   std::optional<ReadPoint> ReadIndex(milliseconds timeout);
+  [[nodiscard]] bool AllowsOrders(const PublishedState& state, Time now) const;
   rpc::Client& ClientTo(const std::string& address);
   void ConfirmOnce();
   void RunConfirmations();
@@ -374,15 +376,30 @@
   return confirmation_;
 }
 
+bool ReplicatedNode::Impl::AllowsOrders(const PublishedState& state, Time now) const {
+  return state.role == consensus::Role::kLeader && state.lease_end && state.orders_from &&
+         now >= *state.orders_from && now + options_.timing.send_margin() < *state.lease_end &&
+         applier_->applied_index() >= state.own_term_start;
+}
+
 std::optional<common::Term> ReplicatedNode::Impl::OrderFencingToken(Time now) const {
   const std::shared_ptr<RaftLoop> running = loop();
   if (running == nullptr) return std::nullopt;
   const PublishedState state = running->published();
-  const bool allowed = state.role == consensus::Role::kLeader && state.lease_end &&
-                       state.orders_from && now >= *state.orders_from &&
-                       now + options_.timing.send_margin < *state.lease_end &&
-                       applier_->applied_index() >= state.own_term_start;
-  return allowed ? std::optional(state.term) : std::nullopt;
+  return AllowsOrders(state, now) ? std::optional(state.term) : std::nullopt;
+}
+
+bool ReplicatedNode::Impl::WaitToSendOrders(milliseconds timeout) const {
+  const std::shared_ptr<RaftLoop> running = loop();
+  if (running == nullptr) return false;
+  bool allowed = false;
+  static_cast<void>(running->WaitPublished(
+      [&](const PublishedState& state) {
+        allowed = AllowsOrders(state, TimerService::Now());
+        return allowed || state.role != consensus::Role::kLeader;
+      },
+      TimerService::Now() + timeout));
+  return allowed;
 }
 
 NodeStatus ReplicatedNode::Impl::status() const {
@@ -443,6 +460,10 @@
   return impl_->OrderFencingToken(now);
 }
 
+bool ReplicatedNode::WaitToSendOrders(milliseconds timeout) const {
+  return impl_->WaitToSendOrders(timeout);
+}
+
 NodeStatus ReplicatedNode::status() const { return impl_->status(); }
 
 common::LogIndex ReplicatedNode::applied_index() const { return impl_->applier().applied_index(); }
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -24,10 +24,13 @@
 /// Members whose writes become durable immediately, except on disks that a test marks as slow.
 class RaftTest : public testing::Test {
  protected:
-  void Add(std::uint64_t id, const schema::Membership& membership, DurableState state = {}) {
-    auto created =
-        Raft::Create({.id = common::MemberId(id), .initial_membership = membership, .seed = id},
-                     std::move(state), now_);
+  void Add(std::uint64_t id, const schema::Membership& membership, DurableState state = {},
+           const Timing& timing = {}) {
+    auto created = Raft::Create({.id = common::MemberId(id),
+                                 .initial_membership = membership,
+                                 .timing = timing,
+                                 .seed = id},
+                                std::move(state), now_);
     if (!created.ok()) throw common::Error(created.error());
     members_.emplace(id, std::move(created).value());
   }
@@ -238,6 +241,34 @@
   EXPECT_FALSE(leader.lease_end());
 }
 
+// Guards against a loaded leader that keeps its leadership and may send no order for seconds,
+// because acknowledgements that take 120 ms use up a lease of 300 ms with a margin for one of 600
+// ms.
+TEST_F(RaftTest, SlowAcknowledgementsLeaveTimeForOrdersWithAShortElectionTimeout) {
+  const Timing timing{.heartbeat = milliseconds(60), .election_timeout = milliseconds(300)};
+  for (const std::uint64_t id : kAll) Add(id, Voters(3), {}, timing);
+  AdvanceTime(milliseconds(3000));
+  Raft& leader = Leader();
+  const common::Term term = leader.term();
+  std::vector<std::pair<common::Time, schema::ConsensusMessage>> delayed;
+  const auto delay_acknowledgements = [&](const schema::ConsensusMessage& message) {
+    if (!message.has_append_response()) return false;
+    delayed.emplace_back(now_ + milliseconds(120), message);
+    return true;
+  };
+  for (const common::Time end = now_ + milliseconds(3000); now_ < end;) {
+    AdvanceTime(kStep, delay_acknowledgements);
+    std::erase_if(delayed, [&](const auto& message) {
+      if (message.first > now_) return false;
+      leader.Receive(message.second, now_);
+      return true;
+    });
+    ASSERT_TRUE(leader.lease_end());
+    EXPECT_LT(now_ + timing.send_margin(), *leader.lease_end());
+  }
+  EXPECT_EQ(leader.term(), term);
+}
+
 // Guards against committing entries of earlier terms only because a majority stores them; a later
 // leader could still replace them.
 TEST_F(RaftTest, EarlierTermsCommitOnlyWithAnEntryOfTheCurrentTerm) {
--- a/tests/control/replicated_node_test.cc
+++ b/tests/control/replicated_node_test.cc
@@ -86,6 +86,24 @@
   }));
 }
 
+// Guards against duties that miss the moments in which a loaded leader may send, and against a wait
+// that holds up the other work of a member that does not lead.
+TEST(ReplicatedNodeTest, LeaderWaitsToSendOrdersAndOtherMembersDoNot) {
+  NodeGroup group(3);
+  const auto leader = group.WaitLeader();
+  ASSERT_TRUE(leader);
+  EXPECT_TRUE(group.node(*leader).WaitToSendOrders(seconds(30)));
+  const common::Time deadline = TimerService::Now() + seconds(30);
+  EXPECT_FALSE(group.node((*leader + 1) % 3).WaitToSendOrders(seconds(30)));
+  EXPECT_LT(TimerService::Now(), deadline);
+
+  group.Stop((*leader + 1) % 3);
+  group.Stop((*leader + 2) % 3);
+  ASSERT_TRUE(Eventually([&] { return !group.node(*leader).MaySendOrders(TimerService::Now()); }));
+  EXPECT_FALSE(group.node(*leader).WaitToSendOrders(seconds(30)));
+  EXPECT_LT(TimerService::Now(), deadline);
+}
+
 // Guards against loss of committed writes when a second member fails right after a replacement.
 TEST(ReplicatedNodeTest, SurvivesLossOfAMemberRightAfterAReplacement) {
   NodeGroup group(3, 40);
