--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -318,6 +318,7 @@
 }
 
 void Exchange::Queue() {
+  memory_ = Memory();
   const common::Time arrived = request_->arrived_at();
   const milliseconds target(route_->target_ms());
   auto share = common::FromSeconds(common::ToSeconds(deadline_ - arrived) * kMaxQueueShare);
@@ -333,7 +334,6 @@
     Reject(kUnavailable, "servers_limited", RetryDelay());
     return;
   }
-  memory_ = Memory();
   if (owner_.placement_.ExceedsMemory(Capability(), memory_)) {
     // Every engine would reject it as if it were full.
     Reject(kUnavailable, "prompt_exceeds_engine_memory");
