--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -7,53 +7,12 @@
 #include <string>
 #include <vector>
 
-#include "briarwood/forwarding/event_splitter.h"
-#include "forwarding/impl/buffered_body.h"
+#include "forwarding/impl/attempt.h"
 #include "forwarding/impl/forwarder.h"
+#include "forwarding/impl/replacement_pacer.h"
 
 namespace briarwood::forwarding::impl {
 
-/// State of one attempt at a backend server.
-struct Attempt {
-  /// Distinguishes the attempts of one request.
-  std::uint64_t number = 0;
-  common::BackendServerId backend_server;
-  /// Identifies the server process that the attempt was sent to, see Forwarder::LifetimeOf.
-  std::string server_lifetime;
-  /// Software version of the server when the attempt was sent; empty if unknown.
-  std::string server_version;
-  common::Tier tier;
-  common::Time started_at;
-  /// Time of the last progress: the start of the attempt, its response or a whole new event. Other
-  /// bytes are no progress, since a stalled server may send some now and then.
-  common::Time progress_at;
-  /// Time of the last event of the stream, or of the start of the response.
-  common::Time last_event_at;
-  double work = 1;
-  /// Work, see QueuedRequest::work, that counts against the service's prompt limit until the first
-  /// event of the attempt.
-  double prompt_work = 0;
-  /// Side of the engines whose prompt limit `prompt_work` counts against.
-  routing::EngineSide side = routing::EngineSide::kAny;
-  std::shared_ptr<http::OutgoingConnection> connection;
-  http::ResponseHead head;
-  ResponseMetadata facts;
-  bool has_head = false;
-  /// Time of the head, if the response may be passed on to the caller.
-  std::optional<common::Time> began_at;
-  /// The connection has served a previous request.
-  bool reused_connection = false;
-  BufferedBody body;
-  EventSplitter events;
-  /// Whole events that are part of the response.
-  std::uint64_t event_count = 0;
-  bool streaming = false;
-  /// Reading waits for the caller, which reads more slowly than the server sends.
-  bool paused = false;
-  /// The response has started; for a stream, its first event has arrived.
-  bool has_progress = false;
-};
-
 /// One request of a caller, from its arrival to the end of its response: queues it, sends it to a
 /// backend server, retries it if allowed and delivers the response.
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -204,11 +163,6 @@
   /// Buffers a piece of a response that is delivered whole, or fails the attempt if the response,
   /// or all responses that the entry buffers, are too long.
   void BufferBody(std::string_view data);
-  /// True if the request is retryable and its attempt has made no progress for a multiple of the
-  /// route's target: of that for the first event, or, after the first event of a stream, of that
-  /// for the gap between events.
-  [[nodiscard]] bool IsStalled(common::Time now) const;
-
   // A silent backend server may be sound and go on, so its attempt is given up only once another
   // server has sent the next event, or shortly after it has begun to respond. Until then the
   // request has two attempts: `attempt_`, which is to replace `silent_attempt_`. Whichever makes
@@ -268,9 +222,7 @@
   std::optional<Attempt> attempt_;
   std::optional<Attempt> silent_attempt_;
   std::uint64_t attempt_number_ = 0;
-  /// Time of the next search for a backend server that replaces a silent one.
-  common::Time next_replacement_at_;
-  std::chrono::milliseconds replacement_interval_;
+  ReplacementPacer replacement_pacer_;
   /// Backend servers to which the request was sent.
   std::set<common::BackendServerId> sent_to_;
   /// Software version that the stream requires, once it has begun.
--- a/src/forwarding/impl/exchange_support.h
+++ b/src/forwarding/impl/exchange_support.h
@@ -32,9 +32,9 @@
 inline constexpr milliseconds kMinTimeLeft{20};
 /// Limit on one event of a stream.
 inline constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
-/// Interval between two searches for a server that replaces a silent one.
-inline constexpr milliseconds kMinReplacementInterval{50};
-inline constexpr milliseconds kMaxReplacementInterval{800};
+
+/// Weight of a first event as an indication of load, relative to that of a gap between events.
+inline constexpr double kFirstEventWeight = 4;
 
 inline constexpr std::uint16_t kUnauthorized = 401;
 inline constexpr std::uint16_t kNotFound = 404;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -9,33 +9,6 @@
 
 using observability::LogLine;
 
-namespace {
-
-/// An attempt is stalled if nothing has arrived for this multiple of the route's target for the
-/// first event or, after the first event, for the gap between events. Sound servers may be silent
-/// for longer, so a stalled attempt is kept until another one has begun to respond. In normal
-/// operation 99% of requests are answered within the target.
-constexpr int kFirstEventStallTargets = 2;
-constexpr int kGapStallTargets = 5;
-/// Lower limits of these timeouts, before and after the first event.
-constexpr milliseconds kMinFirstEventStallTimeout{250};
-constexpr milliseconds kMinGapStallTimeout{1000};
-
-}  // namespace
-
-bool Exchange::IsStalled(common::Time now) const {
-  if (!retryable() || attempt_->has_head != attempt_->streaming) return false;
-  if (attempt_->paused) return false;
-  const milliseconds target(route_->target_ms());
-  const milliseconds gap(route_->event_gap_target_ms());
-  const common::Duration limit =
-      attempt_->has_progress
-          ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
-          : std::max<common::Duration>(kFirstEventStallTargets * target,
-                                       kMinFirstEventStallTimeout);
-  return now - attempt_->progress_at > limit;
-}
-
 void Exchange::ReplaceSilentAttempt(common::Time now) {
   if (silent_attempt_) {
     NoteRun(*attempt_);
@@ -43,9 +16,9 @@
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
   }
-  if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
+  if (!replacement_pacer_.MayTry(now) || !MayRetry(/*may_have_run=*/true, now)) return;
   if (owner_.crash_guard_.HasEvidence(crash_properties_)) return;
-  next_replacement_at_ = now + replacement_interval_;
+  replacement_pacer_.OnTry(now);
   const std::size_t ran_on =
       may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
   if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
@@ -61,7 +34,7 @@
                                               .avoid = attempt_->backend_server},
                                              now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
-  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
+  replacement_pacer_.OnReplaced();
   owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
   silent_attempt_ = std::exchange(attempt_, std::nullopt);
   if (!StartAttempt(choice->id, tier, work, now)) {
