Send slow requests that may be repeated to a second server

Cause: a few answers take many times as long as the others, because one server is slow for a moment; a stalled server is replaced only after twice the route's target. Change: routing::SecondAttemptPolicy decides when a first attempt is slow (95th percentile of the route's recent answers), keeps second attempts to second_attempt_ratio of a service's requests, and stops them for 2 s at each sign that the service is at its limit. The exchange runs them as the pair of attempts that replaces a silent server, but a slow server is not counted as failed. They count against the retry budget and leave one attempt of the route. Ruled out: a fixed delay, and a lower share under load instead of none. On a route that permits two attempts nothing changes, as one is left for a retry.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -117,6 +117,8 @@
   std::chrono::milliseconds gap_target{0};
   /// Server that must not be chosen, for example because an attempt on it failed.
   common::BackendServerId avoid;
+  /// Failure domain whose servers must not be chosen.
+  common::FailureDomainId avoid_domain;
 };
 
 struct PlacementChoice {
--- a/include/briarwood/routing/prompt_limiter.h
+++ b/include/briarwood/routing/prompt_limiter.h
@@ -56,6 +56,8 @@
   void Observe(bool late, double weight, common::Time now);
 
   [[nodiscard]] double limit() const noexcept { return limit_; }
+  /// \returns true if the limit has held a prompt back since its last adjustment.
+  [[nodiscard]] bool held_back() const noexcept { return held_back_; }
   /// \returns the total work of the prompts that wait for their first token.
   [[nodiscard]] double waiting() const noexcept { return waiting_work_; }
 
--- a/include/briarwood/routing/service_retry_budget.h
+++ b/include/briarwood/routing/service_retry_budget.h
@@ -40,6 +40,8 @@
   /// Takes one retry from the budget.
   /// \returns false if the budget is exhausted.
   [[nodiscard]] bool TryRetry(const std::string& service, common::Time now);
+  /// \returns the part of the budget that is spent, 0 to 1.
+  [[nodiscard]] double SpentShare(const std::string& service, common::Time now);
   /// Gives the latest retry back because it did not reach a server.
   void Refund(const std::string& service);
 
@@ -58,6 +60,9 @@
     Counter retries;
   };
 
+  /// \returns the retries that this entry may make in a window.
+  [[nodiscard]] double Allowed(ServiceState& state, common::Time now) const;
+
   ServiceRetryBudgetOptions options_;
   std::uint32_t entries_ = 0;
   std::unordered_map<std::string, ServiceState> services_;
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -27,7 +27,7 @@
 }
 
 bool Attempt::IsStalled(const schema::ForwardRoute& route, common::Time now) const {
-  if (has_head != streaming || paused) return false;
+  if (!IsExpectingProgress()) return false;
   const milliseconds gap(route.event_gap_target_ms());
   const common::Duration limit =
       has_progress ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -184,6 +184,7 @@
   }
   service_ = routing::ForwardTable::ChooseService(*route_, owner_.random_.Uniform());
   owner_.retry_budget_.OnRequest(service_, request_->arrived_at());
+  owner_.second_attempts_.OnRequest(service_);
   std::vector<std::string> part_ids;
   for (const PromptPart& part : facts_.prompt_parts) part_ids.push_back(part.id);
   crash_properties_ =
@@ -790,6 +791,7 @@
     ReplaceSilentAttempt(now);
     return;
   }
+  if (second_attempt_.due_at && now >= *second_attempt_.due_at) StartSecondAttempt(now);
   if (now < deadline_ + kDeadlineGracePeriod) return;
   RecordSilence(*attempt_);
   attempt_->connection->Close();
--- a/src/forwarding/exchange_attempts.cc
+++ b/src/forwarding/exchange_attempts.cc
@@ -50,6 +50,7 @@
     attempt_->side = owner_.placement_.SideOf(service_, GapTarget());
     PromptsOf(*attempt_).OnSent(work);
   }
+  if (sent_attempts_ == 0) ScheduleSecondAttempt(now);
   SendAttempt();
   return true;
 }
@@ -137,6 +138,9 @@
   const routing::ServerStatement& statement = facts.statement;
   const bool changed = owner_.placement_.OnStatement(attempt.backend_server, statement,
                                                      attempt.started_at, common::BootClock::now());
+  if (statement.leaving || statement.requests_per_second || statement.back_off) {
+    owner_.OnLoadSign(service_, routing::LoadSign::kServerStatement, common::BootClock::now());
+  }
   if (!changed) return;
   // Without a limit, the server has ended the one that it stated before.
   LogLine line("server_statement");
@@ -173,7 +177,10 @@
     PromptsOf(*attempt_).Observe(now - attempt_->started_at > limit, kFirstEventWeight, now);
   }
   ReleasePromptWork(*attempt_);
-  if (!first_byte_at_) first_byte_at_ = common::BootClock::now();
+  if (!first_byte_at_) {
+    first_byte_at_ = now;
+    ObserveAnswerTime(now);
+  }
   owner_.placement_.OnWorkDone(attempt_->backend_server, attempt_->work - 1);
   attempt_->work = 1;
   owner_.StateOf(service_).scheduler.ObserveFirstToken(
@@ -206,6 +213,7 @@
       break;
     case AttemptResult::kFull:
       owner_.placement_.OnFull(attempt.backend_server, /*alone=*/false, now);
+      owner_.OnLoadSign(service_, routing::LoadSign::kRejection, now);
       break;
   }
   owner_.pool_.Release(attempt.backend_server, attempt.connection, now);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -84,6 +84,7 @@
       random_(options_.seed),
       placement_(MakePlacementOptions(options_)),
       retry_budget_(options_.retry_budget),
+      second_attempts_(options_.second_attempts),
       pool_(loop) {}
 
 Forwarder::~Forwarder() = default;
@@ -164,7 +165,14 @@
       server.lifetime += "@" + std::to_string(backend.started_unix_ms());
     }
     server.software_version = backend.software_version();
+    server.failure_domain = common::FailureDomainId(backend.failure_domain());
     server.leaving = backend.leaving();
+    if (server.leaving) {
+      const auto known = servers_.find(id);
+      if (known == servers_.end() || !known->second.leaving) {
+        OnLoadSign(server.service, routing::LoadSign::kServerStatement, common::BootClock::now());
+      }
+    }
     if (!present.emplace(id, std::move(server)).second) continue;
     leaving.emplace_back(id, backend.leaving());
     pool_.Set(id, *address, MaxConnections(backend.service()));
@@ -225,6 +233,11 @@
   return found == servers_.end() ? std::string() : found->second.software_version;
 }
 
+common::FailureDomainId Forwarder::DomainOf(const common::BackendServerId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? common::FailureDomainId() : found->second.failure_domain;
+}
+
 std::set<std::string> Forwarder::VersionsOf(const std::string& service) const {
   std::set<std::string> versions;
   for (const auto& [id, server] : servers_) {
@@ -426,6 +439,7 @@
 }
 
 void Forwarder::Tick(common::Time now) {
+  CheckLoad(now);
   for (const auto& exchange : OpenExchanges()) exchange->CheckTimeouts(now);
   for (auto& [service, state] : services_) {
     for (const routing::EngineSide side : {routing::EngineSide::kAny, routing::EngineSide::kStreams,
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -120,6 +120,7 @@
             {.failure_domain = common::FailureDomainId(options_.settings.node().failure_domain()),
              .codec = options_.codec,
              .retry_budget = RetryBudgetOptions(options_.settings.forwarding()),
+             .second_attempts = {.ratio = options_.settings.forwarding().second_attempt_ratio()},
              .seed = options_.seed,
              .on_run_started =
                  [this](const common::CustomerId& customer) {
--- a/src/forwarding/impl/attempt.h
+++ b/src/forwarding/impl/attempt.h
@@ -56,6 +56,9 @@
   /// The response has started; for a stream, its first event has arrived.
   bool has_progress = false;
 
+  /// True if the next part of the response is to arrive, unless its server has rejected the
+  /// request.
+  [[nodiscard]] bool IsExpectingProgress() const { return has_head == streaming && !paused; }
   /// True if the server owes the next part of a response on `route` and nothing has arrived for a
   /// multiple of the route's target: of that for the first event, or, after the first event of a
   /// stream, of that for the gap between events.
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -10,6 +10,7 @@
 #include "forwarding/impl/attempt.h"
 #include "forwarding/impl/forwarder.h"
 #include "forwarding/impl/replacement_pacer.h"
+#include "forwarding/impl/second_attempt.h"
 
 namespace briarwood::forwarding::impl {
 
@@ -170,6 +171,17 @@
 
   /// Sends the request to another backend server if one has room and a retry is allowed.
   void ReplaceSilentAttempt(common::Time now);
+  /// \returns the server to which the request may be sent beside its current attempt.
+  [[nodiscard]] std::optional<routing::PlacementChoice> PickReplacement(
+      const routing::PlacementRequest& request, common::Time now);
+  /// \returns what a server must fit to which the request is sent beside its current attempt.
+  [[nodiscard]] routing::PlacementRequest MakeReplacementRequest() const;
+  /// Starts an attempt at the server `id`, for which a retry has been charged, and keeps the
+  /// current one as the silent attempt. \returns false, with the current attempt unchanged, if
+  /// there is no connection to the server.
+  [[nodiscard]] bool StartBeside(const common::BackendServerId& id, double work, common::Time now);
+  /// \returns the number of servers that may have run the request, with the current attempt's.
+  [[nodiscard]] std::size_t CountServersUsed() const;
   /// Records that the server of an attempt may have run the request, if it was sent.
   void NoteRun(const Attempt& attempt);
   /// Ends the current attempt and goes on with the silent one.
@@ -187,6 +199,18 @@
   [[nodiscard]] bool IsDeliverable(const http::ResponseHead& head,
                                    const ResponseMetadata& facts) const;
 
+  // A second attempt uses the same pair of attempts, but starts while the first one is only slow.
+
+  /// Sets the time of the second attempt when the first one starts.
+  void ScheduleSecondAttempt(common::Time now);
+  /// Sends the request to a second server, if the load of the service allows it.
+  void StartSecondAttempt(common::Time now);
+  /// Logs how the pair of a first and a second attempt has ended, if there is one.
+  /// \returns true if there was one.
+  bool EndSecondAttempt(SecondAttempt::Outcome outcome);
+  /// Records the time to the first byte of a successful answer.
+  void ObserveAnswerTime(common::Time now);
+
   /// \returns the delay after which a rejected caller may find a server.
   [[nodiscard]] std::chrono::milliseconds RetryDelay() const;
   void Deliver();
@@ -223,6 +247,7 @@
   std::optional<Attempt> silent_attempt_;
   std::uint64_t attempt_number_ = 0;
   ReplacementPacer replacement_pacer_;
+  SecondAttempt second_attempt_;
   /// Backend servers to which the request was sent.
   std::set<common::BackendServerId> sent_to_;
   /// Software version that the stream requires, once it has begun.
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -28,6 +28,7 @@
 #include "briarwood/routing/prompt_limiter.h"
 #include "briarwood/routing/response_time_estimator.h"
 #include "briarwood/routing/scheduler.h"
+#include "briarwood/routing/second_attempt_policy.h"
 #include "briarwood/routing/service_retry_budget.h"
 #include "briarwood/routing/stream_versions.h"
 #include "fleet.pb.h"
@@ -41,6 +42,7 @@
   common::FailureDomainId failure_domain;
   WireCodec codec;
   routing::ServiceRetryBudgetOptions retry_budget;
+  routing::SecondAttemptOptions second_attempts;
   std::uint64_t seed = 1;
   /// Called when a backend server has begun to run a request.
   std::function<void(const common::CustomerId& customer)> on_run_started;
@@ -129,6 +131,7 @@
     std::string service;
     std::string lifetime;
     std::string software_version;
+    common::FailureDomainId failure_domain;
     bool leaving = false;
   };
 
@@ -160,6 +163,14 @@
   [[nodiscard]] std::string VersionOf(const common::BackendServerId& id) const;
   /// \returns the software versions of the listed servers of a service.
   [[nodiscard]] std::set<std::string> VersionsOf(const std::string& service) const;
+  [[nodiscard]] common::FailureDomainId DomainOf(const common::BackendServerId& id) const;
+
+  // Signs that a service is at its limit, see service_load.cc.
+
+  void OnLoadSign(const std::string& service, routing::LoadSign sign, common::Time now);
+  /// Looks for signs in the queues, and lets second attempts begin again without them.
+  void CheckLoad(common::Time now);
+
   /// Tells the guard which server processes have ended without having been announced as leaving.
   void RecordEndedServers(const std::map<common::BackendServerId, ListedServer>& listed);
   void LogPromptLimit(const std::string& service, ServiceState& state, routing::EngineSide side);
@@ -184,6 +195,7 @@
   routing::Placement placement_;
   std::map<std::string, routing::EngineDivision> divisions_;
   routing::ServiceRetryBudget retry_budget_;
+  routing::SecondAttemptPolicy second_attempts_;
   routing::CrashGuard crash_guard_;
   /// Held properties in the last rows of the control members.
   std::set<std::string> held_properties_;
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -19,29 +19,13 @@
   if (!replacement_pacer_.MayTry(now) || !MayRetry(/*may_have_run=*/true, now)) return;
   if (owner_.crash_guard_.HasEvidence(crash_properties_)) return;
   replacement_pacer_.OnTry(now);
-  const std::size_t ran_on =
-      may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
-  if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
-  const double work = Work();
-  const common::Tier tier = attempt_->tier;
-  if (work > 1 && !Prompts().Admits(work, tier)) return;
-  owner_.placement_.Refresh(now);
-  const auto choice = owner_.placement_.Pick({.capability = Capability(),
-                                              .tier = tier,
-                                              .prefix_hash = PrefixHash(),
-                                              .work = work,
-                                              .gap_target = GapTarget(),
-                                              .avoid = attempt_->backend_server},
-                                             now);
+  if (CountServersUsed() >= std::max(route_->max_attempts(), 1U)) return;
+  const routing::PlacementRequest request = MakeReplacementRequest();
+  if (request.work > 1 && !Prompts().Admits(request.work, request.tier)) return;
+  const auto choice = PickReplacement(request, now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
   replacement_pacer_.OnReplaced();
-  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work);
-  silent_attempt_ = std::exchange(attempt_, std::nullopt);
-  if (!StartAttempt(choice->id, tier, work, now)) {
-    owner_.retry_budget_.Refund(service_);
-    attempt_ = std::exchange(silent_attempt_, std::nullopt);
-    return;
-  }
+  if (!StartBeside(choice->id, request.work, now)) return;
   owner_.metrics_.CountEvent("stalled");
   // "began" is true if the response has started, see Attempt::has_progress.
   owner_.log_.Warn(LogLine("attempt_stalled")
@@ -53,6 +37,35 @@
                        .text());
 }
 
+std::size_t Exchange::CountServersUsed() const {
+  return may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
+}
+
+routing::PlacementRequest Exchange::MakeReplacementRequest() const {
+  return {.capability = Capability(),
+          .tier = attempt_->tier,
+          .prefix_hash = PrefixHash(),
+          .work = Work(),
+          .gap_target = GapTarget(),
+          .avoid = attempt_->backend_server};
+}
+
+std::optional<routing::PlacementChoice> Exchange::PickReplacement(
+    const routing::PlacementRequest& request, common::Time now) {
+  owner_.placement_.Refresh(now);
+  return owner_.placement_.Pick(request, now);
+}
+
+bool Exchange::StartBeside(const common::BackendServerId& id, double work, common::Time now) {
+  const common::Tier tier = attempt_->tier;
+  owner_.placement_.OnSent(id, tier, /*alone=*/false, now, work);
+  silent_attempt_ = std::exchange(attempt_, std::nullopt);
+  if (StartAttempt(id, tier, work, now)) return true;
+  owner_.retry_budget_.Refund(service_);
+  attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  return false;
+}
+
 void Exchange::NoteRun(const Attempt& attempt) {
   if (attempt.connection->sent_at()) may_have_run_on_.insert(attempt.backend_server);
 }
@@ -60,6 +73,7 @@
 void Exchange::ReturnToSilentAttempt(AttemptResult result) {
   Release(*std::exchange(attempt_, std::nullopt), result);
   attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  if (EndSecondAttempt(SecondAttempt::Outcome::kLost)) return;
   owner_.log_.Info(LogLine("attempt_resumed")
                        .Add("request", facts_.id)
                        .Add("backend", attempt_->backend_server.value())
@@ -68,11 +82,20 @@
 }
 
 void Exchange::ReleaseSilentAttempt(AttemptResult result) {
+  EndSecondAttempt(state_ == State::kEnded ? SecondAttempt::Outcome::kCancelled
+                                           : SecondAttempt::Outcome::kFirstFailed);
   silent_attempt_->connection->Close();
   Release(*std::exchange(silent_attempt_, std::nullopt), result);
 }
 
 void Exchange::GiveUpSilentAttempt() {
+  if (EndSecondAttempt(SecondAttempt::Outcome::kWon)) {
+    // A slow server is not at fault.
+    NoteRun(*silent_attempt_);
+    RecordSilence(*silent_attempt_);
+    ReleaseSilentAttempt(AttemptResult::kInconclusive);
+    return;
+  }
   owner_.log_.Info(LogLine("attempt_replaced")
                        .Add("request", facts_.id)
                        .Add("backend", silent_attempt_->backend_server.value())
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -322,6 +322,10 @@
   if (options_.features.breakers && !ignoring_breakers_ && !server.breaker.Allows(now)) {
     return false;
   }
+  if (!request.avoid_domain.value().empty() &&
+      server.description.failure_domain == request.avoid_domain) {
+    return false;
+  }
   return request.avoid.value().empty() || server.description.id != request.avoid;
 }
 
--- a/src/routing/service_retry_budget.cc
+++ b/src/routing/service_retry_budget.cc
@@ -43,19 +43,30 @@
   requests.Trim(now - options_.window);
 }
 
-bool ServiceRetryBudget::TryRetry(const std::string& service, common::Time now) {
-  ServiceState& state = services_[service];
+double ServiceRetryBudget::Allowed(ServiceState& state, common::Time now) const {
   state.requests.Trim(now - options_.window);
   // A step contains retries up to kStep later than its time.
   state.retries.Trim(now - options_.window - kStep);
   const double entries = entries_ == 0 ? kAssumedEntries : entries_;
-  const double allowed = kUsableShare * (options_.ratio * static_cast<double>(state.requests.sum) +
-                                         options_.burst / entries);
+  return kUsableShare *
+         (options_.ratio * static_cast<double>(state.requests.sum) + options_.burst / entries);
+}
+
+bool ServiceRetryBudget::TryRetry(const std::string& service, common::Time now) {
+  ServiceState& state = services_[service];
+  const double allowed = Allowed(state, now);
   if (static_cast<double>(state.retries.sum) + 1 > allowed) return false;
   state.retries.Add(now);
   return true;
 }
 
+double ServiceRetryBudget::SpentShare(const std::string& service, common::Time now) {
+  ServiceState& state = services_[service];
+  const double allowed = Allowed(state, now);
+  const auto spent = static_cast<double>(state.retries.sum);
+  return allowed > spent ? spent / allowed : 1;
+}
+
 void ServiceRetryBudget::Refund(const std::string& service) {
   services_[service].retries.RemoveLatest();
 }
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -141,6 +141,9 @@
   findings.Require(forwarding.repeat_ratio() >= 0 && forwarding.repeat_ratio() <= 1, row,
                    "repeat_ratio", std::to_string(forwarding.repeat_ratio()),
                    "a share from 0 to 1");
+  findings.Require(forwarding.second_attempt_ratio() >= 0 && forwarding.second_attempt_ratio() <= 1,
+                   row, "second_attempt_ratio", std::to_string(forwarding.second_attempt_ratio()),
+                   "a share from 0 to 1");
   if (forwarding.has_platform()) {
     CheckPlatform(forwarding.platform(), "forwarding.platform", findings);
   }
--- a/tests/forwarding/forwarding_fixture.h
+++ b/tests/forwarding/forwarding_fixture.h
@@ -104,6 +104,9 @@
 /// Runs a forwarding entry; the callers and backend servers use plain sockets.
 class ForwardingTest : public ::testing::Test {
  protected:
+  /// Called with the settings of an entry before it starts.
+  virtual void Customize(schema::EntrySettings& /*settings*/) {}
+
   /// Starts the entry. List assigns service "app" to backend servers whose names start with "a" and
   /// "llm" to the others.
   void StartEntry() {
@@ -132,6 +135,7 @@
     settings.mutable_forwarding()->set_usage_window_ms(5000);
     settings.mutable_forwarding()->set_repeat_burst(640);
     settings.mutable_forwarding()->set_list_stale_ms(50);
+    Customize(settings);
     options.credential = testing_support::kFleetCredential;
     options.incarnation = common::Incarnation(incarnation);
     options.codec = platform::MakeCodec();
@@ -197,6 +201,11 @@
        "sloMs":800,"priority":1,"service":"llm","attempts":1,"affinity":true,"itlTargetMs":200},
       {"name":"long","host":"h.example","pathPrefix":"/long/","type":"streaming",
        "timeoutMs":15000,"sloMs":800,"priority":1,"service":"llm","attempts":1,"itlTargetMs":200},
+      {"name":"find","host":"h.example","pathPrefix":"/find/","type":"safe","timeoutMs":3000,
+       "sloMs":500,"priority":2,"service":"app","attempts":3},
+      {"name":"plan","host":"h.example","pathPrefix":"/plan/","type":"streaming",
+       "timeoutMs":5000,"sloMs":800,"priority":0,"service":"llm","attempts":3,"resumable":true,
+       "itlTargetMs":200},
       {"name":"open","host":"h.example","pathPrefix":"/open/","type":"safe","timeoutMs":1500,
        "sloMs":500,"priority":2,"service":"app","attempts":1,"public":true}],
       "services":[{"name":"app","healthPath":"/healthz","maxConns":100},
--- a/tests/settings/process_settings_test.cc
+++ b/tests/settings/process_settings_test.cc
@@ -53,5 +53,25 @@
   EXPECT_THAT(Keys(result), ElementsAre("1 admin"));
 }
 
+// Guards against an entry that doubles the load of its servers because the share of second attempts
+// was written in percent.
+TEST(ProcessSettingsTest, ChecksTheShareOfSecondAttempts) {
+  const auto read = [](const std::string& ratio) {
+    return ReadEntrySettings("entry.toml",
+                             "listen = \"127.0.0.1:1\"\n"
+                             "control_rpc = [\"127.0.0.1:2\"]\n"
+                             "[node]\nid = \"e1\"\nfailure_domain = \"toton\"\n"
+                             "rpc_listen = \"127.0.0.1:3\"\n"
+                             "[forwarding]\nsecond_attempt_ratio = " +
+                                 ratio + "\n");
+  };
+  EXPECT_TRUE(read("0.05").ok());
+  for (const char* ratio : {"5.0", "-0.1", "nan"}) {
+    const auto result = read(ratio);
+    ASSERT_FALSE(result.ok()) << ratio;
+    EXPECT_THAT(Keys(result), ElementsAre("8 forwarding.second_attempt_ratio"));
+  }
+}
+
 }  // namespace
 }  // namespace briarwood::settings
