--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -133,6 +133,8 @@
   common::Duration first_event_target{};
   /// Server that must not be chosen, for example because an attempt on it failed.
   common::BackendServerId avoid;
+  /// Failure domain whose servers must not be chosen.
+  common::FailureDomainId avoid_domain;
 };
 
 struct PlacementChoice {
--- a/src/forwarding/silent_attempt.cc
+++ b/src/forwarding/silent_attempt.cc
@@ -9,33 +9,6 @@
 
 using observability::LogLine;
 
-namespace {
-
-/// An attempt is stalled if nothing has arrived for this multiple of the route's target for the
-/// first event or, after the first event, for the gap between events. Sound servers may be silent
-/// for longer, so a stalled attempt is kept until another one has begun to respond. In normal
-/// operation 99% of requests are answered within the target.
-constexpr int kFirstEventStallTargets = 2;
-constexpr int kGapStallTargets = 5;
-/// Lower limits of these timeouts, before and after the first event.
-constexpr milliseconds kMinFirstEventStallTimeout{250};
-constexpr milliseconds kMinGapStallTimeout{1000};
-
-}  // namespace
-
-bool Exchange::IsStalled(common::Time now) const {
-  if (!retryable() || attempt_->has_head != attempt_->streaming) return false;
-  if (attempt_->paused) return false;
-  const milliseconds target(route_->target_ms());
-  const milliseconds gap(route_->event_gap_target_ms());
-  const common::Duration limit =
-      attempt_->has_progress
-          ? std::max<common::Duration>(kGapStallTargets * gap, kMinGapStallTimeout)
-          : std::max<common::Duration>(kFirstEventStallTargets * target,
-                                       kMinFirstEventStallTimeout);
-  return now - attempt_->progress_at > limit;
-}
-
 void Exchange::ReplaceSilentAttempt(common::Time now) {
   if (silent_attempt_) {
     NoteRun(*attempt_);
@@ -43,34 +16,16 @@
     ReturnToSilentAttempt(AttemptResult::kFailure);
     return;
   }
-  if (now < next_replacement_at_ || !MayRetry(/*may_have_run=*/true, now)) return;
+  if (!replacement_pacer_.MayTry(now) || !MayRetry(/*may_have_run=*/true, now)) return;
   if (owner_.crash_guard_.HasEvidence(crash_properties_)) return;
-  next_replacement_at_ = now + replacement_interval_;
-  const std::size_t ran_on =
-      may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
-  if (ran_on >= std::max(route_->max_attempts(), 1U)) return;
-  const double work = Work();
-  const common::Tier tier = attempt_->tier;
-  if (work > 1 && !Prompts().Admits(work, tier)) return;
-  owner_.placement_.Refresh(now);
-  const auto choice = owner_.placement_.Pick({.capability = Capability(),
-                                              .tier = tier,
-                                              .prefix_hash = PrefixHash(),
-                                              .work = work,
-                                              .memory = &memory_,
-                                              .gap_target = GapTarget(),
-                                              .first_event_target = PromptTarget(),
-                                              .avoid = attempt_->backend_server},
-                                             now);
+  replacement_pacer_.OnTry(now);
+  if (CountServersUsed() >= std::max(route_->max_attempts(), 1U)) return;
+  const routing::PlacementRequest request = MakeReplacementRequest();
+  if (request.work > 1 && !Prompts().Admits(request.work, request.tier)) return;
+  const auto choice = PickReplacement(request, now);
   if (!choice || !owner_.retry_budget_.TryRetry(service_, now)) return;
-  replacement_interval_ = std::min(2 * replacement_interval_, kMaxReplacementInterval);
-  owner_.placement_.OnSent(choice->id, tier, /*alone=*/false, now, work, memory_);
-  silent_attempt_ = std::exchange(attempt_, std::nullopt);
-  if (!StartAttempt(choice->id, tier, work, now)) {
-    owner_.retry_budget_.Refund(service_);
-    attempt_ = std::exchange(silent_attempt_, std::nullopt);
-    return;
-  }
+  replacement_pacer_.OnReplaced();
+  if (!StartBeside(choice->id, request.work, now)) return;
   owner_.metrics_.CountEvent("stalled");
   // "began" is true if the response has started, see Attempt::has_progress.
   owner_.log_.Warn(LogLine("attempt_stalled")
@@ -82,6 +37,37 @@
                        .text());
 }
 
+std::size_t Exchange::CountServersUsed() const {
+  return may_have_run_on_.size() + (may_have_run_on_.contains(attempt_->backend_server) ? 0 : 1);
+}
+
+routing::PlacementRequest Exchange::MakeReplacementRequest() const {
+  return {.capability = Capability(),
+          .tier = attempt_->tier,
+          .prefix_hash = PrefixHash(),
+          .work = Work(),
+          .memory = &memory_,
+          .gap_target = GapTarget(),
+          .first_event_target = PromptTarget(),
+          .avoid = attempt_->backend_server};
+}
+
+std::optional<routing::PlacementChoice> Exchange::PickReplacement(
+    const routing::PlacementRequest& request, common::Time now) {
+  owner_.placement_.Refresh(now);
+  return owner_.placement_.Pick(request, now);
+}
+
+bool Exchange::StartBeside(const common::BackendServerId& id, double work, common::Time now) {
+  const common::Tier tier = attempt_->tier;
+  owner_.placement_.OnSent(id, tier, /*alone=*/false, now, work, memory_);
+  silent_attempt_ = std::exchange(attempt_, std::nullopt);
+  if (StartAttempt(id, tier, work, now)) return true;
+  owner_.retry_budget_.Refund(service_);
+  attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  return false;
+}
+
 void Exchange::NoteRun(const Attempt& attempt) {
   if (attempt.connection->sent_at()) may_have_run_on_.insert(attempt.backend_server);
 }
@@ -89,6 +75,7 @@
 void Exchange::ReturnToSilentAttempt(AttemptResult result) {
   Release(*std::exchange(attempt_, std::nullopt), result);
   attempt_ = std::exchange(silent_attempt_, std::nullopt);
+  if (EndSecondAttempt(SecondAttempt::Outcome::kLost)) return;
   owner_.log_.Info(LogLine("attempt_resumed")
                        .Add("request", facts_.id)
                        .Add("backend", attempt_->backend_server.value())
@@ -97,11 +84,20 @@
 }
 
 void Exchange::ReleaseSilentAttempt(AttemptResult result) {
+  EndSecondAttempt(state_ == State::kEnded ? SecondAttempt::Outcome::kCancelled
+                                           : SecondAttempt::Outcome::kFirstFailed);
   silent_attempt_->connection->Close();
   Release(*std::exchange(silent_attempt_, std::nullopt), result);
 }
 
 void Exchange::GiveUpSilentAttempt() {
+  if (EndSecondAttempt(SecondAttempt::Outcome::kWon)) {
+    // A slow server is not at fault.
+    NoteRun(*silent_attempt_);
+    RecordSilence(*silent_attempt_);
+    ReleaseSilentAttempt(AttemptResult::kInconclusive);
+    return;
+  }
   owner_.log_.Info(LogLine("attempt_replaced")
                        .Add("request", facts_.id)
                        .Add("backend", silent_attempt_->backend_server.value())
