Replicate orders to drain failure domains

Cause: operators could drain a backend server, not a failure domain; POST and DELETE /briarwood/drain/DOMAIN got 404. Repeated orders are acknowledged and change nothing. Ruled out: a field of the configuration, which a later document would undo; draining each server, which misses servers that are listed later.

--- a/include/briarwood/control/control_state.h
+++ b/include/briarwood/control/control_state.h
@@ -82,6 +82,8 @@
   schema::CommandResult WithdrawKey(const schema::WithdrawKey& command, common::LogIndex index);
   schema::CommandResult CommitUsage(schema::CommitUsage command);
   schema::CommandResult Drain(const schema::DrainBackend& command, common::LogIndex index);
+  schema::CommandResult DrainFailureDomain(const schema::DrainFailureDomain& command,
+                                           common::LogIndex index);
   schema::CommandResult DeclareDead(const schema::DeclareDead& command, common::LogIndex index);
   schema::CommandResult RecordAction(const schema::RecordAction& command, common::LogIndex index);
   schema::CommandResult RecordCrashEvidence(const schema::RecordCrashEvidence& command,
--- a/include/briarwood/distribution/replica.h
+++ b/include/briarwood/distribution/replica.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <shared_mutex>
 #include <string>
 #include <string_view>
@@ -82,6 +83,8 @@
   [[nodiscard]] std::optional<schema::CallerLimits> CallerLimits() const;
   /// \returns the ids of the backend servers that operators drain.
   [[nodiscard]] std::vector<common::BackendServerId> Draining() const;
+  /// \returns the failure domains that operators drain.
+  [[nodiscard]] std::set<common::FailureDomainId> DrainingDomains() const;
   /// \returns the suspects by fingerprint in hex, high half first.
   [[nodiscard]] std::map<std::string, schema::SuspectRow> Suspects() const;
   [[nodiscard]] std::vector<schema::CrashEvidence> CrashEvidence() const;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -8,6 +8,7 @@
 #include "briarwood/common/digest.h"
 #include "briarwood/common/message_text.h"
 #include "briarwood/control/error.h"
+#include "briarwood/control/failure_domain_name.h"
 #include "control/impl/configuration_rows.h"
 #include "control/impl/results.h"
 
@@ -72,6 +73,8 @@
       return function(*command.mutable_clear_crash_evidence());
     case schema::Command::kRecordStreams:
       return function(*command.mutable_record_streams());
+    case schema::Command::kDrainFailureDomain:
+      return function(*command.mutable_drain_failure_domain());
     case schema::Command::kRecordReceipt:
     case schema::Command::kRecordOrderOutcome:
     case schema::Command::BODY_NOT_SET:
@@ -164,6 +167,8 @@
       return ClearCrashEvidence(command.clear_crash_evidence(), index);
     case schema::Command::kRecordStreams:
       return RecordStreams(command.record_streams(), index);
+    case schema::Command::kDrainFailureDomain:
+      return DrainFailureDomain(command.drain_failure_domain(), index);
     default:
       return MakeResult(schema::RESULT_CODE_INVALID, index, "unknown command");
   }
@@ -302,6 +307,32 @@
   });
 }
 
+schema::CommandResult ControlState::DrainFailureDomain(const schema::DrainFailureDomain& command,
+                                                       common::LogIndex index) {
+  const std::string& domain = command.failure_domain();
+  const std::string action = command.draining() ? "drain_domain" : "undrain_domain";
+  if (!IsFailureDomainName(domain)) {
+    return MakeResult(
+        schema::RESULT_CODE_INVALID, index,
+        "failure domain: expected 1 to 128 printable ASCII characters without spaces");
+  }
+  const auto apply = [&] {
+    // The domain need not be configured: it may exist only in the list of backend servers.
+    if (command.draining()) {
+      table_.Put(schema::ROW_KIND_DRAINING_DOMAIN, domain, {}, index);
+    } else {
+      table_.Erase(schema::ROW_KIND_DRAINING_DOMAIN, domain, index);
+    }
+    return impl::Ok(index);
+  };
+  if (!command.operation_id().empty()) return ApplyOnce(command, action, domain, index, apply);
+  const bool drained = table_.Find(schema::ROW_KIND_DRAINING_DOMAIN, domain) != nullptr;
+  if (drained == command.draining()) return impl::Ok(index);
+  schema::CommandResult result = apply();
+  Audit(command, action, domain, result, index);
+  return result;
+}
+
 schema::CommandResult ControlState::DeclareDead(const schema::DeclareDead& command,
                                                 common::LogIndex index) {
   const std::string id = std::to_string(command.incarnation());
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -161,6 +161,14 @@
   return ids;
 }
 
+std::set<common::FailureDomainId> Replica::DrainingDomains() const {
+  std::set<common::FailureDomainId> domains;
+  const std::shared_lock lock(mutex_);
+  table_.ForEach(schema::ROW_KIND_DRAINING_DOMAIN,
+                 [&](const schema::Row& row) { domains.emplace(row.id()); });
+  return domains;
+}
+
 std::map<std::string, schema::SuspectRow> Replica::Suspects() const {
   std::map<std::string, schema::SuspectRow> suspects;
   const std::shared_lock lock(mutex_);
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -292,5 +292,61 @@
   EXPECT_EQ(log_.state().table().Find(schema::ROW_KIND_DRAINING, "e1"), nullptr);
 }
 
+schema::Command DrainDomain(const std::string& domain, bool draining,
+                            const std::string& operation = {}) {
+  schema::Command command;
+  schema::DrainFailureDomain& drain = *command.mutable_drain_failure_domain();
+  drain.set_operation_id(operation);
+  drain.set_failure_domain(domain);
+  drain.set_draining(draining);
+  drain.set_operator_name("ann");
+  return command;
+}
+
+bool IsDomainDrained(const ControlState& state, const std::string& domain) {
+  return state.table().Find(schema::ROW_KIND_DRAINING_DOMAIN, domain) != nullptr;
+}
+
+// Guards against a drain that is lost by a snapshot or by a later configuration, and against a
+// withdrawal that a snapshot undoes.
+TEST_F(ControlStateTest, DomainDrainOutlivesSnapshotsAndConfigurations) {
+  EXPECT_EQ(Code(DrainDomain("toton", true)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(DrainDomain("bescot", true)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(DrainDomain("bescot", false)), schema::RESULT_CODE_OK);
+  Code(Apply("main", 1, "backend_servers { id: \"e1\" failure_domain: \"toton\" }"));
+  log_.RestoreFromSnapshot();
+  Code(Apply("main", 2, ""));
+  EXPECT_TRUE(IsDomainDrained(log_.state(), "toton"));
+  EXPECT_FALSE(IsDomainDrained(log_.state(), "bescot"));
+}
+
+// Guards against a repeated order that is refused, that changes the table, and so reaches every
+// entry again, or that fills the audit records.
+TEST_F(ControlStateTest, RepeatedDomainDrainChangesNothing) {
+  EXPECT_EQ(Code(DrainDomain("toton", true)), schema::RESULT_CODE_OK);
+  const common::LogIndex changed = log_.state().table().last_change();
+  EXPECT_EQ(Code(DrainDomain("toton", true)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(DrainDomain("bescot", false)), schema::RESULT_CODE_OK);
+  EXPECT_EQ(log_.state().table().last_change(), changed);
+  ASSERT_EQ(log_.state().records().audit().size(), 1U);
+  EXPECT_EQ(log_.state().records().audit().front().action(), "drain_domain");
+}
+
+// Guards against a late repetition of an order that undoes the order after it.
+TEST_F(ControlStateTest, LateRepetitionOfADomainDrainDoesNotUndoTheNextOrder) {
+  EXPECT_EQ(Code(DrainDomain("toton", true, "first")), schema::RESULT_CODE_OK);
+  EXPECT_EQ(Code(DrainDomain("toton", false, "second")), schema::RESULT_CODE_OK);
+  log_.RestoreFromSnapshot();
+  EXPECT_EQ(Code(DrainDomain("toton", true, "first")), schema::RESULT_CODE_OK);
+  EXPECT_FALSE(IsDomainDrained(log_.state(), "toton"));
+  EXPECT_EQ(Code(DrainDomain("bescot", true, "first")), schema::RESULT_CODE_CONFLICT);
+}
+
+// Guards against rows whose name no operator can write.
+TEST_F(ControlStateTest, DomainDrainNeedsAName) {
+  EXPECT_EQ(Code(DrainDomain("", true)), schema::RESULT_CODE_INVALID);
+  EXPECT_EQ(Code(DrainDomain("to ton", true)), schema::RESULT_CODE_INVALID);
+}
+
 }  // namespace
 }  // namespace briarwood::control
