Drain failure domains with briarwoodctl

Change: domain list, drain and undrain, with /v1/failure-domains in the administration API. Orders have operation ids, so a late repetition does not undo the order after it.

--- a/src/cli/ctl_commands.cc
+++ b/src/cli/ctl_commands.cc
@@ -32,6 +32,8 @@
     RunKeyCommand(command);
   } else if (group == "backend") {
     RunBackendCommand(command);
+  } else if (group == "domain") {
+    RunDomainCommand(command);
   } else if (group == "crash-evidence") {
     RunCrashEvidenceCommand(command);
   } else if (group == "member") {
@@ -74,10 +76,20 @@
 
 void CtlCommands::RunBackendCommand(const std::string& command) {
   if (command == "list") return ListBackendServers();
-  if (command == "drain" || command == "undrain") return Drain(command);
+  if (command == "drain" || command == "undrain") {
+    return Drain(command, "/v1/backend-servers/", "a backend server");
+  }
   ThrowUnknownCommand("backend " + command);
 }
 
+void CtlCommands::RunDomainCommand(const std::string& command) {
+  if (command == "list") return ListFailureDomains();
+  if (command == "drain" || command == "undrain") {
+    return Drain(command, "/v1/failure-domains/", "a failure domain");
+  }
+  ThrowUnknownCommand("domain " + command);
+}
+
 void CtlCommands::RunCrashEvidenceCommand(const std::string& command) {
   if (command == "list") return ListCrashEvidence();
   if (command == "clear") return ClearCrashEvidence();
@@ -311,13 +323,24 @@
   Print(json, table.ToString());
 }
 
-void CtlCommands::Drain(const std::string& action) {
-  const std::string& id = Argument(2, "a backend server");
+void CtlCommands::ListFailureDomains() {
+  schema::ListFailureDomainsResponse response;
+  const std::string json = client_.Call("GET", "/v1/failure-domains", nullptr, response);
+  Table table({"DOMAIN", "DRAINING", "CONFIGURED"});
+  for (const schema::FailureDomainView& domain : response.failure_domains()) {
+    table.Add({domain.id(), YesNo(domain.draining()), YesNo(domain.configured())});
+  }
+  Print(json, table.ToString());
+}
+
+void CtlCommands::Drain(const std::string& action, const std::string& collection,
+                        const char* argument) {
+  const std::string& id = Argument(2, argument);
   schema::DrainRequest request;
   request.set_operation_id(OperationId());
   schema::OperationResponse response;
   Send("--operation-id " + request.operation_id(), "POST",
-       "/v1/backend-servers/" + EncodeUrl(id) + "/" + action, &request, response);
+       collection + EncodeUrl(id) + "/" + action, &request, response);
   Print(json_, id + (action == "drain" ? " drains" : " accepts requests again") + " from index " +
                    Number(response.index()) + "\n");
   WaitInForce(response.index());
--- a/src/cli/ctl_options.cc
+++ b/src/cli/ctl_options.cc
@@ -28,6 +28,8 @@
   vm list | backend list | member list | order list | audit
   usage list | usage show WINDOW
   backend drain ID | backend undrain ID
+  domain list | domain drain ID | domain undrain ID
+                                 failure domains whose servers get no new requests
   crash-evidence list | crash-evidence clear PROPERTY
   member add ID RPC_ADDRESS      join as a learner
   member promote ID              make a learner that is up to date a voter
--- a/src/cli/impl/ctl_commands.h
+++ b/src/cli/impl/ctl_commands.h
@@ -24,6 +24,7 @@
   void RunDocumentCommand(const std::string& command);
   void RunKeyCommand(const std::string& command);
   void RunBackendCommand(const std::string& command);
+  void RunDomainCommand(const std::string& command);
   void RunCrashEvidenceCommand(const std::string& command);
   void RunMemberCommand(const std::string& command);
 
@@ -38,7 +39,9 @@
   void ListKeys();
   void ListVms();
   void ListBackendServers();
-  void Drain(const std::string& action);
+  /// \param collection  path of the API for what is drained
+  void Drain(const std::string& action, const std::string& collection, const char* argument);
+  void ListFailureDomains();
   void ListCrashEvidence();
   void ClearCrashEvidence();
   void AddMember();
--- a/src/control/admin_calls.cc
+++ b/src/control/admin_calls.cc
@@ -144,6 +144,7 @@
   if (name == "documents") return RunDocuments(call);
   if (name == "keys") return RunKeys(call);
   if (name == "backend-servers") return RunBackendServers(call);
+  if (name == "failure-domains") return RunFailureDomains(call);
   if (name == "crash-evidence") return RunCrashEvidence(call);
   if (name == "members") return RunMembers(call);
   if (name == "usage") return RunUsage(call);
@@ -300,6 +301,28 @@
   ThrowUnknownCall(call);
 }
 
+std::string AdminCalls::RunFailureDomains(const AdminCall& call) {
+  if (call.path.size() == 1 && call.method == "GET") return ListFailureDomains();
+  const bool action = call.path.size() == 3 && call.method == "POST";
+  if (action && call.path[2] == "drain") return DrainFailureDomain(call.path[1], true, call);
+  if (action && call.path[2] == "undrain") return DrainFailureDomain(call.path[1], false, call);
+  ThrowUnknownCall(call);
+}
+
+std::string AdminCalls::DrainFailureDomain(const std::string& id, bool draining,
+                                           const AdminCall& call) {
+  schema::DrainRequest request;
+  FromJson(call.body, request);
+  RequireOperationId(request.operation_id());
+  schema::Command command;
+  schema::DrainFailureDomain& drain = *command.mutable_drain_failure_domain();
+  drain.set_operation_id(request.operation_id());
+  drain.set_failure_domain(id);
+  drain.set_draining(draining);
+  drain.set_operator_name(call.operator_name);
+  return OperationResult(request.operation_id(), Commit(command));
+}
+
 std::string AdminCalls::RunCrashEvidence(const AdminCall& call) {
   if (call.path.size() == 1 && call.method == "GET") return ListCrashEvidence();
   if (call.path.size() == 2 && call.method == "DELETE") {
--- a/src/control/admin_views.cc
+++ b/src/control/admin_views.cc
@@ -120,6 +120,23 @@
   return ToJson(response);
 }
 
+std::string AdminCalls::ListFailureDomains() const {
+  // Platforms list backend servers in domains that no document configures.
+  std::map<std::string, schema::FailureDomainView> domains;
+  backend_.ReadState([&](const ControlState& state) {
+    state.table().ForEach(schema::ROW_KIND_FAILURE_DOMAIN,
+                          [&](const schema::Row& row) { domains[row.id()].set_configured(true); });
+    state.table().ForEach(schema::ROW_KIND_DRAINING_DOMAIN,
+                          [&](const schema::Row& row) { domains[row.id()].set_draining(true); });
+  });
+  schema::ListFailureDomainsResponse response;
+  for (auto& [id, view] : domains) {
+    view.set_id(id);
+    *response.add_failure_domains() = std::move(view);
+  }
+  return ToJson(response);
+}
+
 std::string AdminCalls::ListCrashEvidence() const {
   schema::ListCrashEvidenceResponse response;
   backend_.ReadState([&](const ControlState& state) {
--- a/src/control/impl/admin_calls.h
+++ b/src/control/impl/admin_calls.h
@@ -55,6 +55,10 @@
   [[nodiscard]] std::string ListKeys(const AdminCall& call) const;
   [[nodiscard]] std::string ListVms(const AdminCall& call) const;
   [[nodiscard]] std::string ListBackendServers() const;
+  [[nodiscard]] std::string RunFailureDomains(const AdminCall& call);
+  [[nodiscard]] std::string ListFailureDomains() const;
+  [[nodiscard]] std::string DrainFailureDomain(const std::string& id, bool draining,
+                                               const AdminCall& call);
   [[nodiscard]] std::string Drain(const std::string& id, bool draining, const AdminCall& call);
   [[nodiscard]] std::string ListCrashEvidence() const;
   [[nodiscard]] std::string ClearCrashEvidence(const std::string& property, const AdminCall& call);
--- a/tests/cli/briarwoodctl_test.cc
+++ b/tests/cli/briarwoodctl_test.cc
@@ -144,8 +144,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Golden, SessionTest,
                          testing::Values("ctl_apply", "ctl_conflict", "ctl_keys", "ctl_drain",
-                                         "ctl_crash_evidence", "ctl_members", "ctl_usage",
-                                         "ctl_errors"),
+                                         "ctl_domain_drain", "ctl_crash_evidence", "ctl_members",
+                                         "ctl_usage", "ctl_errors"),
                          [](const auto& parameter) { return parameter.param; });
 
 }  // namespace
