Keep requests from drained failure domains and cold servers

Cause: entries knew leaving servers of the list only, and sent cold servers the load of warm ones: idle servers of a domain that is taken back attract the requests of all entries at once. Change: Placement leaves the servers of drained domains out of its pools, so new and queued requests, retries and replacements of silent servers go elsewhere; requests in progress finish. If all domains of a service are drained, its callers get 503 with Retry-After. routing::ColdStart decides whether a server counts as cold, from the list and from events that the list shows late; ServerBackpressure divides the configured rate among the entries beside a limit that the server states. The digest of a list changes when a server becomes cold or warm. Without a cold rate in the configuration nothing is limited. Ruled out: to trust the list alone, which is late by up to 2 s; windows as long as for stated limits, which for 14 entries at 4 requests a second let 7 arrive within one second where 6.8 are tolerated.

--- a/include/briarwood/routing/placement.h
+++ b/include/briarwood/routing/placement.h
@@ -14,6 +14,7 @@
 #include "briarwood/common/random.h"
 #include "briarwood/common/time.h"
 #include "briarwood/routing/circuit_breaker.h"
+#include "briarwood/routing/cold_start.h"
 #include "briarwood/routing/engine_division.h"
 #include "briarwood/routing/peer_comparison.h"
 #include "briarwood/routing/request.h"
@@ -141,6 +142,13 @@
   void SetBackends(const std::vector<BackendDescription>& backends);
   /// A draining server receives no new requests. One that no longer drains has started again.
   void SetDraining(const common::BackendServerId& id, bool draining);
+  /// Replaces the failure domains whose servers receive no new requests. Servers of a domain that
+  /// is taken back may be cold.
+  void SetDrainingDomains(const std::set<common::FailureDomainId>& domains, common::Time now);
+  /// Replaces the limits of cold servers, by service; the servers of other services have none.
+  void SetColdLimits(std::map<std::string, ColdLimit> limits);
+  /// Applies what a list of servers shows; `warm_up` is 0 for a warm server.
+  void SetWarmUp(const common::BackendServerId& id, common::Duration warm_up, common::Time read_at);
   /// A server whose agent is unreachable receives no new requests.
   void SetAlive(const common::BackendServerId& id, bool alive);
   /// Replaces the divisions of services. Services without one are not divided.
@@ -178,7 +186,7 @@
   /// a limit of the server.
   void OnNotSent(const common::BackendServerId& id);
   /// Report the outcome of an attempt to the circuit breaker of the server.
-  void OnSuccess(const common::BackendServerId& id);
+  void OnSuccess(const common::BackendServerId& id, common::Time now);
   void OnFailure(const common::BackendServerId& id, common::Time now);
   /// The end of the attempt does not show whether the server works, for example because the caller
   /// disconnected.
@@ -200,6 +208,8 @@
   /// \returns true if a server for `capability` takes new requests, apart from those in `except`.
   [[nodiscard]] bool HasServer(const Capability& capability,
                                const std::set<common::BackendServerId>& except);
+  /// \returns true if there are servers for `capability`, all of them in draining domains.
+  [[nodiscard]] bool IsDrained(const Capability& capability) const;
   /// \returns the version of the model of a server; empty if it is unknown or states none.
   [[nodiscard]] std::string ModelVersionOf(const common::BackendServerId& id) const;
   /// Number of servers that this entry uses for `capability`.
@@ -233,6 +243,8 @@
     common::Time trial_retry_at;
     double speed = 1;
     bool draining = false;
+    /// Its failure domain is drained.
+    bool domain_draining = false;
     bool alive = true;
     bool leaving = false;
     bool healthy = true;
@@ -245,6 +257,9 @@
     common::Time smoothed_at;
     CircuitBreaker breaker;
     ServerBackpressure backpressure;
+    ColdStart cold_start;
+    /// An attempt failed, and none has succeeded since.
+    bool failing = false;
   };
 
   /// Number of servers considered for each prefix, in order of preference.
@@ -292,8 +307,10 @@
   [[nodiscard]] double Load(const Server& server) const noexcept;
   static void UpdateSmoothedOthers(Server& server, common::Time now);
   [[nodiscard]] double OthersAt(const Server& server, common::Time now) const;
+  /// Limits the requests to a server while it is cold.
+  void UpdateColdLimit(Server& server, common::Time now);
   [[nodiscard]] std::size_t GroupOf(const BackendDescription& description);
-  /// \returns true if neither its agent nor the list keeps requests from the server.
+  /// \returns true if neither its agent, the list nor a drain keeps requests from the server.
   [[nodiscard]] static bool IsInService(const Server& server);
   /// \returns true if in addition the statements of the server allow a request now.
   [[nodiscard]] bool TakesRequests(const Server& server, common::Time now) const;
@@ -331,6 +348,8 @@
   std::unordered_map<common::BackendServerId, std::uint32_t> index_;
   std::map<PoolKey, Pool> pools_;
   std::map<std::string, EngineDivision> divisions_;
+  std::set<common::FailureDomainId> draining_domains_;
+  std::map<std::string, ColdLimit> cold_limits_;
   std::unordered_map<std::string, PeerComparison> peers_;
   std::optional<common::Time> refreshed_at_;
   /// Set during a pick from a pool whose breakers are all open.
--- a/include/briarwood/routing/server_backpressure.h
+++ b/include/briarwood/routing/server_backpressure.h
@@ -5,13 +5,14 @@
 
 #include "briarwood/common/random.h"
 #include "briarwood/common/time.h"
+#include "briarwood/routing/cold_start.h"
 #include "briarwood/routing/fleet_position.h"
 #include "briarwood/routing/server_statement.h"
 
 namespace briarwood::routing {
 
 /// Decides when one entry may send requests to one backend server, given what the server has stated
-/// about itself in this lifetime.
+/// about itself in this lifetime and what it tolerates while it is cold.
 ///
 /// A limit applies to all entries together, which do not know each other's requests. Each entry
 /// takes an equal share and spaces its requests. If the entries are few compared to the limit, a
@@ -31,6 +32,11 @@
   bool OnStatement(const ServerStatement& statement, common::Time sent_at,
                    const FleetPosition& position, common::Time now, common::Random& random);
 
+  /// Sets the limit of a server that is cold, or ends it. It applies beside one that the server
+  /// states.
+  void SetColdLimit(const std::optional<ColdLimit>& limit, const FleetPosition& position,
+                    common::Time now, common::Random& random);
+
   /// \returns true if a request may be sent now.
   [[nodiscard]] bool Admits(const FleetPosition& position, common::Time now) const;
   /// \returns the earliest time at which a request may be sent, or nothing if the server is
@@ -47,6 +53,12 @@
   [[nodiscard]] bool leaving() const noexcept { return leaving_; }
 
  private:
+  /// \returns the lower of the limits, or nothing without one.
+  [[nodiscard]] std::optional<double> Limit() const;
+  /// Begins to space the requests, as there was no limit before.
+  void BeginSpacing(const FleetPosition& position, common::Time now, common::Random& random);
+  /// \returns the length of a window.
+  [[nodiscard]] common::Duration WindowLength(common::Duration interval) const;
   /// \returns the time between two requests of this entry.
   [[nodiscard]] common::Duration Interval(const FleetPosition& position) const;
   [[nodiscard]] bool KeepsPermits(const FleetPosition& position) const;
@@ -62,6 +74,7 @@
   common::Time back_off_until_;
   std::optional<double> limit_;
   common::Time limit_stated_at_;
+  std::optional<ColdLimit> cold_limit_;
   /// No request is sent before this time.
   common::Time next_permit_at_;
   /// Start of a window while the position of the entry is not known.
--- a/src/distribution/backend_list.cc
+++ b/src/distribution/backend_list.cc
@@ -9,7 +9,7 @@
   std::uint64_t digest = 1;
   for (const schema::ListedBackend& backend : list.backends()) {
     schema::ListedBackend stable = backend;
-    stable.clear_warm_up_ms();
+    stable.set_warm_up_ms(backend.warm_up_ms() == 0 ? 0 : 1);
     digest += common::Hash64(stable.SerializeAsString());
   }
   list.set_digest(digest);
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -38,6 +38,7 @@
   for (const common::BackendServerId& id : replica.Draining()) {
     directory->draining_.insert(id.value());
   }
+  directory->draining_domains_ = replica.DrainingDomains();
   return directory;
 }
 
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -63,7 +63,7 @@
 
 void Dispatcher::Configure(const Directory& directory, common::Time now) {
   const std::lock_guard lock(mutex_);
-  ConfigureBackends(directory);
+  ConfigureBackends(directory, now);
   weights_.clear();
   for (const auto& [id, customer] : directory.customers()) {
     if (customer.weight() > 0) weights_[id] = customer.weight();
@@ -86,10 +86,11 @@
   }
 }
 
-void Dispatcher::ConfigureBackends(const Directory& directory) {
+void Dispatcher::ConfigureBackends(const Directory& directory, common::Time now) {
   std::vector<routing::BackendDescription> backends;
   for (const auto& [id, backend] : directory.backends()) backends.push_back(ToDescription(backend));
   placement_.SetBackends(backends);
+  placement_.SetDrainingDomains(directory.draining_domains(), now);
   std::set<std::string> configured;
   for (const auto& [id, backend] : directory.backends()) configured.insert(id);
   liveness_.RemoveUnconfigured(configured);
@@ -264,7 +265,7 @@
   if (tracked == tracked_.end() || !tracked->second.attempt) return;
   const Attempt attempt = *std::exchange(tracked->second.attempt, std::nullopt);
   placement_.OnEnded(attempt.server, attempt.tier, attempt.alone);
-  if (outcome == AttemptOutcome::kSuccess) placement_.OnSuccess(attempt.server);
+  if (outcome == AttemptOutcome::kSuccess) placement_.OnSuccess(attempt.server, now);
   if (outcome == AttemptOutcome::kFailure) {
     placement_.OnFailure(attempt.server, now);
     // A single server is not avoided, because there is no alternative.
--- a/src/entry/impl/directory.h
+++ b/src/entry/impl/directory.h
@@ -45,6 +45,9 @@
     return backends_;
   }
   [[nodiscard]] const std::set<std::string>& draining() const noexcept { return draining_; }
+  [[nodiscard]] const std::set<common::FailureDomainId>& draining_domains() const noexcept {
+    return draining_domains_;
+  }
 
  private:
   std::map<std::string, schema::Customer> customers_;
@@ -54,6 +57,7 @@
   std::map<std::string, schema::BackendServer> backends_;
   std::map<std::string, schema::SuspectRow> suspects_;
   std::set<std::string> draining_;
+  std::set<common::FailureDomainId> draining_domains_;
 };
 
 }  // namespace briarwood::entry::impl
--- a/src/entry/impl/dispatcher.h
+++ b/src/entry/impl/dispatcher.h
@@ -120,7 +120,7 @@
 
   [[nodiscard]] SchedulerPtr SchedulerFor(const routing::Capability& capability);
   [[nodiscard]] SchedulerPtr MakeScheduler() const;
-  void ConfigureBackends(const Directory& directory);
+  void ConfigureBackends(const Directory& directory, common::Time now);
   void UpdateLiveness(common::Time now);
   void ApplyLoad(const schema::LoadReport& load, common::Time now);
   /// Adds the classes of tracked requests that a change of the configuration removed.
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -60,6 +60,9 @@
 
 /// A server that crashes when it begins to write an answer may still send the first event.
 constexpr std::uint64_t kSoundEvents = 2;
+constexpr std::string_view kDrainedReason = "failure_domains_draining";
+/// Operators end a drain by hand, so an earlier retry is rarely served.
+constexpr milliseconds kRetryAfterDelayWhileDrained{2000};
 constexpr std::string_view kHeldReason = "crash_property_held";
 /// Length of the properties in one log line; callers choose the ids of prompt parts.
 constexpr std::size_t kMaxLoggedPropertyBytes = 240;
@@ -321,6 +324,10 @@
     Reject(kUnavailable, "servers_limited", RetryDelay());
     return;
   }
+  if (owner_.placement_.IsDrained(Capability())) {
+    Reject(kUnavailable, kDrainedReason, kRetryAfterDelayWhileDrained);
+    return;
+  }
   in_scheduler_ = true;
   if (GapTarget() > milliseconds(0)) {
     counted_as_stream_ = true;
@@ -353,6 +360,13 @@
   return capability;
 }
 
+void Exchange::OnDrained() {
+  if (state_ != State::kQueued || !in_scheduler_ || !HasNotRun()) return;
+  if (owner_.placement_.IsDrained(Capability())) {
+    Reject(kUnavailable, kDrainedReason, kRetryAfterDelayWhileDrained);
+  }
+}
+
 void Exchange::OnDropped(routing::DropReason reason) {
   in_scheduler_ = false;
   if (state_ == State::kEnded) return;
@@ -913,7 +927,7 @@
   owner_.placement_.OnEnded(attempt.backend_server, attempt.tier, /*alone=*/false, attempt.work);
   switch (result) {
     case AttemptResult::kSuccess:
-      owner_.placement_.OnSuccess(attempt.backend_server);
+      owner_.placement_.OnSuccess(attempt.backend_server, now);
       break;
     case AttemptResult::kFailure:
       owner_.placement_.OnFailure(attempt.backend_server, now);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -92,6 +92,7 @@
                          common::LogIndex index) {
   table_ = std::move(table);
   table_index_ = index;
+  placement_.SetColdLimits(ColdLimits());
   ApplyBackends();
   log_.Info(LogLine("configuration_in_force")
                 .Add("config_index", index.value())
@@ -118,7 +119,28 @@
 }
 
 void Forwarder::ConfirmBackends(common::Time read_at) {
-  if (list_read_at_ && read_at > *list_read_at_) list_read_at_ = read_at;
+  if (!list_read_at_ || read_at <= *list_read_at_) return;
+  list_read_at_ = read_at;
+  ApplyWarmUps();
+}
+
+void Forwarder::ApplyWarmUps() {
+  if (!list_read_at_) return;
+  for (const schema::ListedBackend& backend : backends_.backends()) {
+    placement_.SetWarmUp(common::BackendServerId(backend.id()),
+                         std::chrono::milliseconds(backend.warm_up_ms()), *list_read_at_);
+  }
+}
+
+std::map<std::string, routing::ColdLimit> Forwarder::ColdLimits() const {
+  std::map<std::string, routing::ColdLimit> limits;
+  for (const schema::Service& service : table_->configuration().services) {
+    if (service.cold_requests_per_second() <= 0) continue;
+    limits[service.id()] = {.requests_per_second = service.cold_requests_per_second(),
+                            .overage = options_.cold_overage,
+                            .slack = options_.cold_slack};
+  }
+  return limits;
 }
 
 void Forwarder::SetEntries(std::uint32_t entries, std::optional<std::uint32_t> index,
@@ -165,6 +187,7 @@
     }
     server.software_version = backend.software_version();
     server.leaving = backend.leaving();
+    server.cold = backend.warm_up_ms() > 0;
     if (!present.emplace(id, std::move(server)).second) continue;
     leaving.emplace_back(id, backend.leaving());
     pool_.Set(id, *address, MaxConnections(backend.service()));
@@ -178,6 +201,7 @@
   }
   placement_.SetBackends(descriptions);
   for (const auto& [id, is_leaving] : leaving) placement_.SetDraining(id, is_leaving);
+  ApplyWarmUps();
   for (const auto& [id, server] : servers_) {
     if (present.contains(id)) continue;
     // The list no longer contains the backend server; it may still be running.
@@ -186,7 +210,16 @@
         LogLine("backend_gone").Add("backend", id.value()).Add("service", server.service).text());
   }
   for (const auto& [id, server] : present) {
-    if (servers_.contains(id)) continue;
+    const auto known = servers_.find(id);
+    const bool was_cold = known != servers_.end() && known->second.cold;
+    if (server.cold != was_cold) {
+      log_.Info(LogLine("backend_warm_up")
+                    .Add("backend", id.value())
+                    .Add("service", server.service)
+                    .Add("cold", server.cold)
+                    .text());
+    }
+    if (known != servers_.end()) continue;
     log_.Info(LogLine("backend_listed")
                   .Add("backend", id.value())
                   .Add("service", server.service)
@@ -253,6 +286,7 @@
   std::set<std::string> domains;
   for (const schema::ListedBackend& backend : backends_.backends()) {
     if (backend.service() != service || backend.leaving()) continue;
+    if (draining_domains_.contains(common::FailureDomainId(backend.failure_domain()))) continue;
     ++streams.engines;
     streams.slots += backend.slots() == 0 ? kDefaultSlots : backend.slots();
     domains.insert(backend.failure_domain());
@@ -275,6 +309,23 @@
   return streams;
 }
 
+void Forwarder::SetDrainingDomains(const std::set<common::FailureDomainId>& domains) {
+  if (domains == draining_domains_) return;
+  for (const common::FailureDomainId& domain : domains) {
+    if (draining_domains_.contains(domain)) continue;
+    log_.Info(LogLine("failure_domain_draining").Add("failure_domain", domain.value()).text());
+    metrics_.CountEvent("failure_domain_draining");
+  }
+  for (const common::FailureDomainId& domain : draining_domains_) {
+    if (domains.contains(domain)) continue;
+    log_.Info(LogLine("failure_domain_restored").Add("failure_domain", domain.value()).text());
+    metrics_.CountEvent("failure_domain_restored");
+  }
+  draining_domains_ = domains;
+  placement_.SetDrainingDomains(domains, common::BootClock::now());
+  for (const auto& exchange : OpenExchanges()) exchange->OnDrained();
+}
+
 void Forwarder::SetDivisions(const std::map<std::string, routing::EngineDivision>& divisions) {
   if (divisions == divisions_) return;
   const auto log = [this](const std::string& service, const routing::EngineDivision& division) {
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -120,6 +120,8 @@
             {.failure_domain = common::FailureDomainId(options_.settings.node().failure_domain()),
              .codec = options_.codec,
              .retry_budget = RetryBudgetOptions(options_.settings.forwarding()),
+             .cold_overage = std::max(1.0, options_.settings.forwarding().cold_overage()),
+             .cold_slack = options_.settings.forwarding().cold_slack(),
              .seed = options_.seed,
              .on_run_started =
                  [this](const common::CustomerId& customer) {
@@ -445,11 +447,13 @@
 
   void OnChanged(const std::vector<distribution::RowTable::RowKey>& changed) {
     if (!replica_.freshness()) return;
-    const auto is_crash_evidence = [](const distribution::RowTable::RowKey& key) {
-      return key.first == schema::ROW_KIND_CRASH_EVIDENCE;
+    const auto is_outside_configuration = [](const distribution::RowTable::RowKey& key) {
+      return key.first == schema::ROW_KIND_CRASH_EVIDENCE ||
+             key.first == schema::ROW_KIND_DRAINING_DOMAIN;
     };
-    if (has_table_ && std::all_of(changed.begin(), changed.end(), is_crash_evidence)) {
+    if (has_table_ && std::all_of(changed.begin(), changed.end(), is_outside_configuration)) {
       ApplyCrashEvidence();
+      ApplyDrainingDomains();
     } else {
       OnRows();
     }
@@ -460,6 +464,12 @@
         loop_, [this, rows = replica_.CrashEvidence()] { forwarder_.SetCrashEvidence(rows); });
   }
 
+  void ApplyDrainingDomains() {
+    boost::asio::post(loop_, [this, domains = replica_.DrainingDomains()] {
+      forwarder_.SetDrainingDomains(domains);
+    });
+  }
+
   /// Runs on the thread that applies sync responses. No response is applied meanwhile, so all rows
   /// that are read from the replica belong to its current log index. A process that has just
   /// started uses no state until a majority has confirmed it, because a member that has also just
@@ -468,6 +478,7 @@
     if (!replica_.freshness()) return;
     has_table_ = true;
     ApplyCrashEvidence();
+    ApplyDrainingDomains();
     auto table = std::make_shared<const routing::ForwardTable>(
         routing::ForwardConfiguration{.routes = replica_.ForwardRoutes(),
                                       .services = replica_.Services(),
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -67,6 +67,8 @@
   void OnPlaced(const routing::Dispatch& dispatch);
   /// Called when the scheduler has dropped the request.
   void OnDropped(routing::DropReason reason);
+  /// The set of draining failure domains has changed.
+  void OnDrained();
   /// Called when the first configuration with forwarding is active.
   void OnConfiguration();
   /// Called when the control members have answered where the stream began that the request resumes.
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -41,6 +41,10 @@
   common::FailureDomainId failure_domain;
   WireCodec codec;
   routing::ServiceRetryBudgetOptions retry_budget;
+  /// Factor and number of requests by which all entries together may exceed the rate of a cold
+  /// server within one second.
+  double cold_overage = 1;
+  double cold_slack = 0;
   std::uint64_t seed = 1;
   /// Called when a backend server has begun to run a request.
   std::function<void(const common::CustomerId& customer)> on_run_started;
@@ -58,7 +62,7 @@
   void SetTable(std::shared_ptr<const routing::ForwardTable> table, common::LogIndex index);
   /// \param read_at  time at which the list was read from the platform
   void SetBackends(const schema::BackendList& list, common::Time read_at);
-  /// Records that the list was read again and has not changed.
+  /// Records that the list was read again and has not changed, apart from the lengths of warm-ups.
   void ConfirmBackends(common::Time read_at);
   /// \param index  position of this entry among the entries, if it is known
   void SetEntries(std::uint32_t entries, std::optional<std::uint32_t> index, common::Time now);
@@ -66,6 +70,10 @@
   /// \param at  time of this entry's clock to which it belongs
   void SetAgreedTime(common::UnixMillis agreed, common::Time at);
 
+  /// Replaces the failure domains whose backend servers receive no further requests. Requests that
+  /// run there continue.
+  void SetDrainingDomains(const std::set<common::FailureDomainId>& domains);
+
   /// Replaces the divisions of the engines of services, as the leader decided them.
   void SetDivisions(const std::map<std::string, routing::EngineDivision>& divisions);
   /// \returns the streams of this entry by service, for the leader.
@@ -130,6 +138,7 @@
     std::string lifetime;
     std::string software_version;
     bool leaving = false;
+    bool cold = false;
   };
 
   /// \returns the open requests, which may end while the caller iterates over them.
@@ -152,6 +161,8 @@
   /// service; 0 means no limit.
   [[nodiscard]] std::uint32_t MaxConnections(const std::string& service) const;
   void ApplyBackends();
+  void ApplyWarmUps();
+  [[nodiscard]] std::map<std::string, routing::ColdLimit> ColdLimits() const;
   [[nodiscard]] std::uint32_t CountServers(const std::string& service) const;
   /// \returns a name of the process that runs as this backend server, which differs between two
   ///   processes with the same id as far as the list shows it.
@@ -183,6 +194,7 @@
   common::Time peak_entries_at_;
   routing::Placement placement_;
   std::map<std::string, routing::EngineDivision> divisions_;
+  std::set<common::FailureDomainId> draining_domains_;
   routing::ServiceRetryBudget retry_budget_;
   routing::CrashGuard crash_guard_;
   /// Held properties in the last rows of the control members.
--- a/src/policy_sim/simulation.cc
+++ b/src/policy_sim/simulation.cc
@@ -298,7 +298,7 @@
   const common::BackendServerId engine(engine_of_.at(&request)->id());
   const bool first = request.delivered == request.queued.resume_from;
   if (first) {
-    entry.placement.OnSuccess(engine);
+    entry.placement.OnSuccess(engine, now);
     if (request.delivered == 0) {
       request.first_token_at = now;
       if (!request.trial) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -74,6 +74,7 @@
     server.hash = common::Hash64(description.id.value());
     if (is_new_lifetime) server.backpressure = ServerBackpressure(server.hash);
     server.group = GroupOf(description);
+    server.domain_draining = draining_domains_.contains(description.failure_domain);
   }
   servers_ = std::move(servers);
   index_.clear();
@@ -97,7 +98,8 @@
     std::vector<EnginePlace> places;
     for (std::uint32_t index = 0; index < servers_.size(); ++index) {
       const Server& server = servers_[index];
-      if (server.description.service != service || server.draining) continue;
+      if (server.description.service != service) continue;
+      if (server.draining || server.domain_draining) continue;
       members.push_back(index);
       places.push_back({.hash = server.hash, .failure_domain = server.description.failure_domain});
     }
@@ -133,9 +135,41 @@
   if (server == nullptr) return;
   if (server->draining && !draining) server->backpressure = ServerBackpressure(server->hash);
   if (std::exchange(server->draining, draining) == draining) return;
+  refreshed_at_.reset();
   if (divisions_.contains(server->description.service)) AssignSides();
 }
 
+void Placement::SetDrainingDomains(const std::set<common::FailureDomainId>& domains,
+                                   common::Time now) {
+  if (domains == draining_domains_) return;
+  draining_domains_ = domains;
+  for (Server& server : servers_) {
+    const bool draining = domains.contains(server.description.failure_domain);
+    if (std::exchange(server.domain_draining, draining) && !draining) {
+      server.cold_start.OnMayBeCold(now);
+      UpdateColdLimit(server, now);
+    }
+  }
+  AssignSides();
+}
+
+void Placement::SetColdLimits(std::map<std::string, ColdLimit> limits) {
+  cold_limits_ = std::move(limits);
+  refreshed_at_.reset();
+}
+
+void Placement::SetWarmUp(const common::BackendServerId& id, common::Duration warm_up,
+                          common::Time read_at) {
+  if (Server* server = Find(id)) server->cold_start.OnListed(warm_up, read_at);
+}
+
+void Placement::UpdateColdLimit(Server& server, common::Time now) {
+  const auto found = cold_limits_.find(server.description.service);
+  const bool limited = found != cold_limits_.end() && server.cold_start.IsCold(now);
+  server.backpressure.SetColdLimit(limited ? std::optional(found->second) : std::nullopt, position_,
+                                   now, random_);
+}
+
 bool Placement::OnStatement(const common::BackendServerId& id, const ServerStatement& statement,
                             common::Time sent_at, common::Time now) {
   Server* server = Find(id);
@@ -202,6 +236,7 @@
   refreshed_at_ = now;
   RefreshMeans(now);
   for (Server& server : servers_) {
+    UpdateColdLimit(server, now);
     server.others_now = OthersAt(server, now);
     if (server.sampled_at) {
       const double age_s = std::max(0.0, common::ToSeconds(now - *server.sampled_at));
@@ -257,6 +292,8 @@
   Pool pool;
   for (std::uint32_t index = 0; index < servers_.size(); ++index) {
     if (key.side != EngineSide::kAny && servers_[index].side != key.side) continue;
+    // Means and preferred servers of prefixes are those of the domains that remain.
+    if (servers_[index].domain_draining) continue;
     if (Matches(servers_[index].description, key.capability)) pool.members.push_back(index);
   }
   pool.members = ChooseSubset(std::move(pool.members));
@@ -309,7 +346,8 @@
 }
 
 bool Placement::IsInService(const Server& server) {
-  return !server.draining && !server.leaving && server.alive && server.healthy;
+  return !server.draining && !server.domain_draining && !server.leaving && server.alive &&
+         server.healthy;
 }
 
 bool Placement::TakesRequests(const Server& server, common::Time now) const {
@@ -516,12 +554,20 @@
   if (Server* server = Find(id)) server->backpressure.OnNotSent();
 }
 
-void Placement::OnSuccess(const common::BackendServerId& id) {
-  if (Server* server = Find(id)) server->breaker.OnSuccess();
+void Placement::OnSuccess(const common::BackendServerId& id, common::Time now) {
+  Server* server = Find(id);
+  if (server == nullptr) return;
+  server->breaker.OnSuccess();
+  // It may have started again since, which the list shows later.
+  if (std::exchange(server->failing, false)) server->cold_start.OnMayBeCold(now);
 }
 
 void Placement::OnFailure(const common::BackendServerId& id, common::Time now) {
-  if (Server* server = Find(id)) server->breaker.OnFailure(now, random_);
+  Server* server = Find(id);
+  if (server == nullptr) return;
+  server->breaker.OnFailure(now, random_);
+  server->failing = true;
+  server->cold_start.OnMayBeCold(now);
 }
 
 void Placement::OnNoVerdict(const common::BackendServerId& id) {
@@ -573,6 +619,17 @@
   });
 }
 
+bool Placement::IsDrained(const Capability& capability) const {
+  if (draining_domains_.empty()) return false;
+  bool has_server = false;
+  for (const Server& server : servers_) {
+    if (!Matches(server.description, capability)) continue;
+    if (!server.domain_draining) return false;
+    has_server = true;
+  }
+  return has_server;
+}
+
 std::string Placement::ModelVersionOf(const common::BackendServerId& id) const {
   const auto found = index_.find(id);
   return found == index_.end() ? std::string() : servers_[found->second].description.model_version;
--- a/src/routing/server_backpressure.cc
+++ b/src/routing/server_backpressure.cc
@@ -19,8 +19,15 @@
 constexpr common::Duration kWindow = std::chrono::seconds(1);
 constexpr int kMinIntervalWindows = 4;
 
-common::Duration WindowOf(common::Duration interval) {
-  return std::min(kWindow, interval / kMinIntervalWindows);
+/// Share of what a cold server tolerates beyond its rate within a second that the windows use; the
+/// rest covers errors of the shared clock.
+constexpr double kColdToleranceShare = 0.8;
+/// Several times the interval at which queued requests are dispatched.
+constexpr common::Duration kMinWindow = std::chrono::milliseconds(50);
+
+/// \returns the requests beyond its rate that a cold server tolerates within one second.
+double ToleratedBurst(const ColdLimit& limit) {
+  return std::max(0.0, limit.overage - 1) * limit.requests_per_second + limit.slack;
 }
 
 }  // namespace
@@ -41,17 +48,12 @@
                                     const FleetPosition& position, common::Time now,
                                     common::Random& random) {
   if (statement.requests_per_second) {
-    const bool is_new = !limit_;
+    const bool is_new = !Limit();
     const bool changed = limit_ != statement.requests_per_second;
     limit_ = statement.requests_per_second;
     limit_stated_at_ = now;
-    const common::Duration interval = Interval(position);
-    if (is_new) {
-      // Entries that learn of a limit at the same time do not start at the same time.
-      random_window_ = now + common::FromSeconds(random.Uniform() * common::ToSeconds(interval));
-      next_permit_at_ = KeepsPermits(position) ? random_window_ : now;
-    }
-    next_permit_at_ = std::min(next_permit_at_, now + interval);
+    if (is_new) BeginSpacing(position, now, random);
+    next_permit_at_ = std::min(next_permit_at_, now + Interval(position));
     return changed;
   }
   if (!limit_ || sent_at <= limit_stated_at_) return false;
@@ -59,9 +61,44 @@
   return true;
 }
 
+void ServerBackpressure::SetColdLimit(const std::optional<ColdLimit>& limit,
+                                      const FleetPosition& position, common::Time now,
+                                      common::Random& random) {
+  if (limit == cold_limit_) return;
+  const bool is_new = limit && !Limit();
+  cold_limit_ = limit;
+  if (is_new) BeginSpacing(position, now, random);
+  if (Limit()) next_permit_at_ = std::min(next_permit_at_, now + Interval(position));
+}
+
+void ServerBackpressure::BeginSpacing(const FleetPosition& position, common::Time now,
+                                      common::Random& random) {
+  // Entries that learn of a limit at the same time do not start at the same time.
+  const double turn = random.Uniform() * common::ToSeconds(Interval(position));
+  random_window_ = now + common::FromSeconds(turn);
+  next_permit_at_ = KeepsPermits(position) ? random_window_ : now;
+}
+
+std::optional<double> ServerBackpressure::Limit() const {
+  if (!cold_limit_) return limit_;
+  return std::min(limit_.value_or(cold_limit_->requests_per_second),
+                  cold_limit_->requests_per_second);
+}
+
 std::optional<double> ServerBackpressure::Rate(const FleetPosition& position) const {
-  if (!limit_) return std::nullopt;
-  return std::max(*limit_, kMinLimit) / std::max(position.entries, 1U);
+  const std::optional<double> limit = Limit();
+  if (!limit) return std::nullopt;
+  return std::max(*limit, kMinLimit) / std::max(position.entries, 1U);
+}
+
+common::Duration ServerBackpressure::WindowLength(common::Duration interval) const {
+  const common::Duration window = std::min(kWindow, interval / kMinIntervalWindows);
+  if (!cold_limit_) return window;
+  // A window may begin just before the second, and another end just after it.
+  const double tolerated_s =
+      (ToleratedBurst(*cold_limit_) - 1) / std::max(cold_limit_->requests_per_second, kMinLimit);
+  return std::min(window,
+                  std::max(kMinWindow, common::FromSeconds(kColdToleranceShare * tolerated_s)));
 }
 
 common::Duration ServerBackpressure::Interval(const FleetPosition& position) const {
@@ -69,7 +106,10 @@
 }
 
 bool ServerBackpressure::KeepsPermits(const FleetPosition& position) const {
-  return position.entries <= kToleratedBurst + kToleratedBurstSeconds * limit_.value_or(0);
+  if (cold_limit_ && position.entries > kColdToleranceShare * ToleratedBurst(*cold_limit_)) {
+    return false;
+  }
+  return !limit_ || position.entries <= kToleratedBurst + kToleratedBurstSeconds * *limit_;
 }
 
 common::Time ServerBackpressure::WindowStart(const FleetPosition& position,
@@ -92,12 +132,12 @@
                                                          common::Time now) const {
   if (leaving_) return std::nullopt;
   const common::Time earliest = std::max(now, back_off_until_);
-  if (!limit_) return earliest;
+  if (!Limit()) return earliest;
   const common::Time at = std::max(earliest, next_permit_at_);
   if (KeepsPermits(position)) return at;
   const common::Duration interval = Interval(position);
   const common::Time window = WindowStart(position, at);
-  return at - window < WindowOf(interval) ? at : window + interval;
+  return at - window < WindowLength(interval) ? at : window + interval;
 }
 
 bool ServerBackpressure::Admits(const FleetPosition& position, common::Time now) const {
@@ -106,7 +146,7 @@
 }
 
 void ServerBackpressure::OnSending(const FleetPosition& position, common::Time now) {
-  if (!limit_) return;
+  if (!Limit()) return;
   taken_permit_at_ = next_permit_at_;
   const common::Duration interval = Interval(position);
   // The middle between two windows, as the shared clock is known with a small error only.
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/platform/configuration_json_test.cc
@@ -202,5 +202,18 @@
             0U);
 }
 
+// Guards against a rate of cold servers that is lost, or that is no rate.
+TEST(ConfigurationJsonTest, ReadsTheRateOfColdServers) {
+  const auto with_rate = [](const std::string& rate) {
+    return Replace(kValid, R"("maxConns":390)", R"("maxConns":390,"coldPerS":)" + rate);
+  };
+  const auto parsed = MakeParser(schema::PlatformSettings()).parse("platform", with_rate("17.5"));
+  ASSERT_TRUE(parsed.ok());
+  EXPECT_EQ(parsed.value().services(0).cold_requests_per_second(), 17.5);
+  EXPECT_EQ(parsed.value().services(1).cold_requests_per_second(), 0);
+  EXPECT_EQ(CountProblems(with_rate("-1")), 1U);
+  EXPECT_EQ(CountProblems(with_rate(R"("17")")), 1U);
+}
+
 }  // namespace
 }  // namespace briarwood::platform
--- a/tests/routing/server_backpressure_test.cc
+++ b/tests/routing/server_backpressure_test.cc
@@ -24,7 +24,8 @@
 /// Entries that learn of a limit at the same time and send to one server in virtual time.
 class LimitedServer {
  public:
-  LimitedServer(std::uint32_t entries, double limit, std::uint64_t seed) {
+  LimitedServer(std::uint32_t entries, std::optional<double> limit, std::uint64_t seed,
+                const std::optional<ColdLimit>& cold = std::nullopt) {
     common::Random random(seed);
     const std::uint64_t hash = random.Next();
     for (std::uint32_t i = 0; i < entries; ++i) {
@@ -34,8 +35,11 @@
       sender.position = {.entries = entries,
                          .index = i,
                          .shared_clock_offset = common::Duration(seconds(7)) - sender.clock_ahead};
-      sender.backpressure.OnStatement(Limit(limit), kStart + sender.clock_ahead, sender.position,
-                                      kStart + sender.clock_ahead, random);
+      const common::Time local = kStart + sender.clock_ahead;
+      if (limit) {
+        sender.backpressure.OnStatement(Limit(*limit), local, sender.position, local, random);
+      }
+      sender.backpressure.SetColdLimit(cold, sender.position, local, random);
     }
   }
 
@@ -169,5 +173,29 @@
   EXPECT_TRUE(server.Admits(kAlone, kStart + seconds(3)));
 }
 
+// Guards against entries that together send a cold server more within a second than it tolerates,
+// and against limits that leave a cold server unused.
+TEST(ServerBackpressureTest, EntriesTogetherKeepToTheColdLimit) {
+  for (const ColdLimit cold :
+       {ColdLimit{17, 1.5, 5}, ColdLimit{4, 1.2, 2}, ColdLimit{60, 1.5, 5}}) {
+    for (const std::uint32_t entries : {1U, 3U, 14U, 26U, 120U, 300U}) {
+      LimitedServer server(entries, std::nullopt, entries, cold);
+      server.SendFrom(kStart, kStart + seconds(60));
+      EXPECT_LE(static_cast<double>(server.MaxIn(seconds(1))),
+                cold.requests_per_second * cold.overage + cold.slack)
+          << entries << " entries, " << cold.requests_per_second << " per second";
+      EXPECT_GE(static_cast<double>(server.arrivals()), 0.5 * 60 * cold.requests_per_second)
+          << entries;
+    }
+  }
+}
+
+// Guards against a cold server that states a lower limit itself and gets the higher one.
+TEST(ServerBackpressureTest, TheLowerOfTwoLimitsHolds) {
+  LimitedServer server(3, 4, 1, ColdLimit{17, 1.5, 5});
+  server.SendFrom(kStart, kStart + seconds(20));
+  EXPECT_LE(server.arrivals(), 4 * 20 + 5U);
+}
+
 }  // namespace
 }  // namespace briarwood::routing
