--- a/src/forwarding/exchange_attempts.cc
+++ b/src/forwarding/exchange_attempts.cc
@@ -209,7 +209,7 @@
                             memory_);
   switch (result) {
     case AttemptResult::kSuccess:
-      owner_.placement_.OnSuccess(attempt.backend_server);
+      owner_.placement_.OnSuccess(attempt.backend_server, now);
       break;
     case AttemptResult::kFailure:
       owner_.placement_.OnFailure(attempt.backend_server, now);
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -29,6 +29,8 @@
   void OnDropped(routing::DropReason reason);
   /// Called when no server had room for the queued request and some lacked only memory.
   void OnLackOfMemory();
+  /// The set of draining failure domains has changed.
+  void OnDrained();
   /// Called when the first configuration with forwarding is active.
   void OnConfiguration();
   /// Called when the control members have answered where the stream began that the request resumes.
