--- a/include/briarwood/routing/division_planner.h
+++ b/include/briarwood/routing/division_planner.h
@@ -35,7 +35,7 @@
   /// fluctuation.
   double min_rise = 1.2;
   /// The streams' side shrinks to the highest need of this time.
-  common::Duration peak_period = std::chrono::seconds(1);
+  common::Duration peak_period = std::chrono::seconds(2);
   /// Time in which engines that leave the streams' side finish their streams.
   common::Duration drain_period = std::chrono::seconds(1);
   /// Time without open streams of the class after which the engines are no longer divided.
