--- a/src/routing/request_sizes.cc
+++ b/src/routing/request_sizes.cc
@@ -16,7 +16,6 @@
 /// Time without a report after which the reported mean begins to lose weight, and its half-life.
 constexpr common::Duration kSilence = std::chrono::seconds(1);
 constexpr common::Duration kSilenceHalfLife = std::chrono::seconds(1);
-
 /// Bound of the growth that is assumed of the other entries since the reports.
 constexpr double kMaxGrowth = 3;
 /// Smallest mean number of requests that says something about their sizes.
