Leave the tolerance of cold servers out of the platform's template

Change: the sections are gone; without them a cold server gets its rate itself, which is stricter than the bound. The soak's values for the sections are gone too.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -87,7 +87,6 @@
 std::string Daemon::Settings(bool bootstrap) const {
   const bool member = role_ == Role::kMember;
   TemplateValues values;
-  values.lists = {{"bounds.coldOverage", {}}, {"bounds.coldSlack", {}}};
   values.texts = {{"dataDir", data_folder_},
                   {"node", name_},
                   {"zone", "domain-" + std::to_string(name_.back() % 3)},
