Restore the check of the fixture's document in the key check tests

Cause: moved the replacement of the list of customers into a function that returns the document, and dropped the ASSERT_NE that the list was found. Without it, a changed fixture would give the tests a document that they do not mean. Ruled out: an EXPECT in the function, which would go on with such a document. Change: ReplaceCustomers has the assertion again, and both callers use it; a second copy of the command is gone. A variable of AnswerTimeWindow and a comment of a test have plainer names.

--- a/src/routing/answer_time_window.cc
+++ b/src/routing/answer_time_window.cc
@@ -28,10 +28,10 @@
   }
   if (times.size() < kMinAnswers) return std::nullopt;
   const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(times.size())));
-  const auto chosen =
+  const auto quantile =
       times.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(rank, 1)) - 1;
-  std::nth_element(times.begin(), chosen, times.end());
-  return *chosen;
+  std::nth_element(times.begin(), quantile, times.end());
+  return *quantile;
 }
 
 }  // namespace briarwood::routing
--- a/tests/forwarding/failure_domain_drain_test.cc
+++ b/tests/forwarding/failure_domain_drain_test.cc
@@ -114,7 +114,7 @@
   EXPECT_TRUE(sibling.requests().empty());
 }
 
-// Guards against a replacement for a silent server that is chosen from the drained domain.
+// Guards against a replacement for a silent server in the drained domain.
 TEST_F(FailureDomainDrainTest, ReplacementLeavesADrainedDomain) {
   FakeBackend west(KeepFirst([](const auto&, const auto&) {}));
   ListIn("west", "m-1", west);
--- a/tests/forwarding/key_check_test.cc
+++ b/tests/forwarding/key_check_test.cc
@@ -15,18 +15,26 @@
     List("a-1", backend_->address());
   }
 
-  /// \returns the fixture's document with `customers` in place of its list of customers.
-  static std::string DocumentWithCustomers(std::uint64_t version, const std::string& customers) {
-    const std::string content = Document(version, kKey);
-    return content.substr(0, content.rfind(",\n      \"tenants\"")) + customers + "}";
+  /// Puts `customers` in place of the list of customers of the fixture's document.
+  static void ReplaceCustomers(const std::string& customers, std::string& content) {
+    const std::size_t start = content.rfind(",\n      \"tenants\"");
+    ASSERT_NE(start, std::string::npos);
+    content.replace(start, std::string::npos, customers + "}");
   }
 
-  void ApplyWithCustomers(std::uint64_t version, const std::string& customers) {
+  static void ApplyWithCustomers(testing_support::TestControl& control, std::uint64_t version,
+                                 const std::string& customers) {
+    std::string content = Document(version, kKey);
+    ASSERT_NO_FATAL_FAILURE(ReplaceCustomers(customers, content));
     schema::Command command;
     command.mutable_apply_configuration()->set_document("platform");
     command.mutable_apply_configuration()->set_version(version);
-    command.mutable_apply_configuration()->set_content(DocumentWithCustomers(version, customers));
-    ASSERT_EQ(control_.Apply(command).code(), schema::RESULT_CODE_OK);
+    command.mutable_apply_configuration()->set_content(content);
+    ASSERT_EQ(control.Apply(command).code(), schema::RESULT_CODE_OK);
+  }
+
+  void ApplyWithCustomers(std::uint64_t version, const std::string& customers) {
+    ApplyWithCustomers(control_, version, customers);
   }
 
   std::string StatusOf(const std::string& target, const std::string& key) {
@@ -120,19 +128,13 @@
     return decltype(parsed)::Success(std::move(configuration));
   };
   testing_support::TestControl earlier(std::move(parser));
-  const auto apply = [&earlier](std::uint64_t version, const std::string& content) {
-    schema::Command command;
-    command.mutable_apply_configuration()->set_document("platform");
-    command.mutable_apply_configuration()->set_version(version);
-    command.mutable_apply_configuration()->set_content(content);
-    ASSERT_EQ(earlier.Apply(command).code(), schema::RESULT_CODE_OK);
-  };
-  apply(1, Document(1, kKey));
+  ApplyWithCustomers(earlier, 1,
+                     R"(,"tenants":[{"name":"east","apiKeys":[")" + std::string(kKey) + R"("]}])");
   node_ = MakeEntry("entry/vm-1", 7, earlier.address());
   ASSERT_NE(node_, nullptr);
   ASSERT_TRUE(Eventually([this] { return node_->Ready(); }));
   EXPECT_EQ(StatusOf("/book/x", kKey), "HTTP/1.1 200");
-  apply(2, DocumentWithCustomers(2, R"(,"tenants":[])"));
+  ApplyWithCustomers(earlier, 2, R"(,"tenants":[])");
   ASSERT_TRUE(Eventually([this] { return StatusOf("/book/x", kKey) == "HTTP/1.1 503"; }));
   EXPECT_EQ(StatusOf("/book/x", "never-granted"), "HTTP/1.1 503");
   EXPECT_EQ(StatusOf("/open/x", ""), "HTTP/1.1 200");
