Log which configuration a request was refused by, and the search for a member

Cause: from one entry's log an on-call engineer could not tell a late configuration from a route that was never there. request_end named the log index only, and nothing recorded how long an entry looked for a control member.

Change: sync responses state the versions of the documents. Lines of requests that were not answered name these versions, the age of the confirmation and the member that gave it, and without a route the host and path. control_search records a change of the member and searches of more than 1 s, a gauge the age of the confirmation, and a counter the 404 and 401 by a confirmation of more than 1 s.

Ruled out: a row with the version, as members of two versions would then hold different tables at one index.

--- a/include/briarwood/control/documents.h
+++ b/include/briarwood/control/documents.h
@@ -54,6 +54,8 @@
   }
   /// \returns the current version; 0 for an unknown document.
   [[nodiscard]] std::uint64_t CurrentVersion(const std::string& document) const;
+  /// \returns the current versions of all documents, by name.
+  [[nodiscard]] std::map<std::string, std::uint64_t> CurrentVersions() const;
 
   /// \returns true if the merged configuration has become more complete than in the snapshot, which
   ///   an earlier version may have written.
--- a/include/briarwood/distribution/replica.h
+++ b/include/briarwood/distribution/replica.h
@@ -61,6 +61,8 @@
   /// \returns the highest fencing token that a majority confirmed; 0 before the first confirmed
   /// response.
   [[nodiscard]] common::Term fence() const;
+  /// \returns the versions of the documents at index(), by name; empty before a parent states them.
+  [[nodiscard]] std::map<std::string, std::uint64_t> document_versions() const;
   [[nodiscard]] const RowFilter& filter() const noexcept { return filter_; }
 
   /// \returns the rows that a child of this process lacks. Throws ParentBehind when `index` is
@@ -105,6 +107,7 @@
   std::unordered_map<std::string, schema::KeyRow> keys_;
   std::optional<common::Time> freshness_;
   common::Term fence_;
+  std::map<std::string, std::uint64_t> document_versions_;
 
   // Held while callbacks run, so that unsubscribing waits for a running callback. Recursive, so
   // that a callback may subscribe and unsubscribe.
--- a/include/briarwood/distribution/row_table.h
+++ b/include/briarwood/distribution/row_table.h
@@ -24,6 +24,8 @@
   /// True when `rows` is the whole table and the receiver removes all other rows.
   bool full = false;
   std::vector<schema::Row> rows;
+  /// Versions of the documents at `index`, by name; empty if the sender does not state them.
+  std::map<std::string, std::uint64_t> document_versions;
 };
 
 /// Versioned rows with tombstones. The key of a row is (kind, id); a row carries the log index of
--- a/include/briarwood/distribution/sync_client.h
+++ b/include/briarwood/distribution/sync_client.h
@@ -34,6 +34,14 @@
   std::chrono::milliseconds max_confirmation_age{1500};
 };
 
+/// Result of one search for a parent with a current table.
+struct SyncRound {
+  /// Parent that gave the table; empty if none had a current one.
+  std::string parent;
+  std::size_t calls = 0;
+  common::Duration duration{};
+};
+
 struct SyncClientCallbacks {
   /// Sets identity, readiness, heartbeats and demand of a request; the client sets index and
   /// filter.
@@ -42,6 +50,8 @@
   std::function<void(const schema::SyncResponse& response, common::Time sent_at)> on_response;
   /// Optional: called with the error message after a failed call.
   std::function<void(const std::string& parent, const std::string& problem)> on_failure;
+  /// Optional: called after each round.
+  std::function<void(const SyncRound& round)> on_round;
 };
 
 /// Child side of the relay tree: a thread that calls "Sync" on one of several parents once per
@@ -75,8 +85,7 @@
  private:
   void Run();
   /// Calls the parents in turn, each at most once, until one response is fresh.
-  /// \returns false when there was none.
-  bool SyncRound();
+  [[nodiscard]] SyncRound RunRound();
   /// \returns true when the response was applied and its confirmation is fresh.
   bool SyncWith(rpc::Client& parent);
   std::shared_ptr<rpc::Client> CurrentParent();
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -363,7 +363,9 @@
     return {.delta =
                 [this](common::LogIndex since, const distribution::RowFilter& filter) {
                   return node_->WithState([&](const ControlState& state) {
-                    return state.table().DeltaSince(since, filter);
+                    distribution::Delta delta = state.table().DeltaSince(since, filter);
+                    delta.document_versions = state.documents().CurrentVersions();
+                    return delta;
                   });
                 },
             .confirmation = [this] { return CurrentConfirmation(); },
--- a/src/control/documents.cc
+++ b/src/control/documents.cc
@@ -17,6 +17,12 @@
   return found->second.versions().rbegin()->version();
 }
 
+std::map<std::string, std::uint64_t> Documents::CurrentVersions() const {
+  std::map<std::string, std::uint64_t> versions;
+  for (const auto& [name, state] : documents_) versions[name] = CurrentVersion(name);
+  return versions;
+}
+
 namespace {
 
 const schema::AppliedVersion* FindVersion(const schema::DocumentState& document,
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -35,6 +35,9 @@
     if (delta.index < table_.index()) return false;
     changed = table_.Merge(delta);
     UpdateKeys(changed);
+    for (const schema::DocumentVersion& stated : response.document_versions()) {
+      document_versions_[stated.document()] = stated.version();
+    }
     if (response.confirmed()) {
       const common::Time confirmed_at =
           sent_at - std::chrono::milliseconds(response.freshness_age_ms());
@@ -82,9 +85,16 @@
   return fence_;
 }
 
+std::map<std::string, std::uint64_t> Replica::document_versions() const {
+  const std::shared_lock lock(mutex_);
+  return document_versions_;
+}
+
 Delta Replica::DeltaSince(common::LogIndex index, const RowFilter& filter) const {
   const std::shared_lock lock(mutex_);
-  return table_.DeltaSince(index, filter);
+  Delta delta = table_.DeltaSince(index, filter);
+  delta.document_versions = document_versions_;
+  return delta;
 }
 
 std::optional<schema::KeyRow> Replica::FindKey(std::string_view sha256_hex) const {
--- a/src/distribution/sync_client.cc
+++ b/src/distribution/sync_client.cc
@@ -58,7 +58,10 @@
   while (!stopping_) {
     sync_requested_ = false;
     lock.unlock();
-    SyncRound();
+    const common::Time started = common::BootClock::now();
+    SyncRound round = RunRound();
+    round.duration = common::BootClock::now() - started;
+    if (callbacks_.on_round) callbacks_.on_round(round);
     lock.lock();
     const auto period =
         replica_.freshness() ? options_.period : std::min(options_.startup_period, options_.period);
@@ -66,23 +69,28 @@
   }
 }
 
-bool SyncClient::SyncRound() {
+SyncRound SyncClient::RunRound() {
+  SyncRound round;
   std::size_t parents = 0;
   {
     const std::lock_guard lock(mutex_);
     parents = options_.parents.size();
   }
-  for (std::size_t calls = 0; calls < parents; ++calls) {
+  while (round.calls < parents) {
     {
       const std::lock_guard lock(mutex_);
-      if (stopping_) return false;
+      if (stopping_) return round;
     }
     const std::shared_ptr<rpc::Client> parent = CurrentParent();
-    if (!parent) return false;
-    if (SyncWith(*parent)) return true;
+    if (!parent) return round;
+    ++round.calls;
+    if (SyncWith(*parent)) {
+      round.parent = parent->address();
+      return round;
+    }
     SwitchToNextParent(parent->address());
   }
-  return false;
+  return round;
 }
 
 std::shared_ptr<rpc::Client> SyncClient::CurrentParent() {
--- a/src/distribution/sync_server.cc
+++ b/src/distribution/sync_server.cc
@@ -65,6 +65,11 @@
   response.set_index(delta.index.value());
   response.set_full(delta.full);
   for (schema::Row& row : delta.rows) *response.add_rows() = std::move(row);
+  for (const auto& [document, version] : delta.document_versions) {
+    schema::DocumentVersion& stated = *response.add_document_versions();
+    stated.set_document(document);
+    stated.set_version(version);
+  }
   if (confirmation.confirmed_at && delta.index >= confirmation.index) {
     response.set_confirmed(true);
     response.set_freshness_age_ms(AgeMillis(*confirmation.confirmed_at, now));
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -54,6 +54,9 @@
 
 /// A server that crashes when it begins to write an answer may still send the first event.
 constexpr std::uint64_t kSoundEvents = 2;
+/// Refusals by a configuration that was confirmed longer ago are counted.
+constexpr milliseconds kMaxRefusalAge{1000};
+constexpr std::string_view kAnsweredOutcome = "answered";
 constexpr std::string_view kDrainedReason = "failure_domains_draining";
 /// Operators end a drain by hand, so an earlier retry is rarely served.
 constexpr milliseconds kRetryAfterDelayWhileDrained{2000};
@@ -165,6 +168,7 @@
   const std::string* host = request_->head().headers.Find("Host");
   route_ = table_->Match(host == nullptr ? std::string_view() : *host, request_->head().path());
   if (route_ == nullptr) {
+    CountOldRefusal();
     Reject(kNotFound, "no_route");
     return false;
   }
@@ -174,6 +178,7 @@
     customer_ = key_owner->customer;
     tier_ = key_owner->tier.value_or(tier_);
   } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_REQUIRED) {
+    CountOldRefusal();
     Reject(kUnauthorized, facts_.key.empty() ? "no_key" : "unknown_key");
     return false;
   } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_UNSPECIFIED) {
@@ -634,7 +639,7 @@
     request_->EndStream();
     ReleaseAttempt(AttemptResult::kSuccess);
     ObserveResponseTime();
-    End("answered", status, "");
+    End(kAnsweredOutcome, status, "");
     return;
   }
   if (IsSuccess(status) && !IsDeliverable(attempt_->head, attempt_->facts)) {
@@ -672,7 +677,7 @@
   // show that the backend server is faulty.
   ReleaseAttempt(AttemptResult::kSuccess);
   if (IsSuccess(status)) ObserveResponseTime();
-  End("answered", status, "");
+  End(kAnsweredOutcome, status, "");
 }
 
 bool Exchange::WithholdFalsePromise() {
@@ -909,9 +914,28 @@
       .Add("total_ms", Millis(now - request_->arrived_at()))
       .Add("config_index", owner_.table_index_.value());
   if (owner_.list_read_at_) line.Add("list_age_ms", Millis(now - *owner_.list_read_at_));
+  if (outcome != kAnsweredOutcome) AddConfiguration(line, now);
   owner_.log_.Info(line.text());
 }
 
+void Exchange::CountOldRefusal() const {
+  const std::optional<common::Time>& confirmed_at = owner_.control_view_.confirmed_at;
+  if (confirmed_at && request_->arrived_at() - *confirmed_at <= kMaxRefusalAge) return;
+  owner_.metrics_.CountEvent("refused_by_old_configuration");
+}
+
+void Exchange::AddConfiguration(LogLine& line, common::Time now) const {
+  // "config_age_ms" is the time since the control members confirmed the configuration, or -1.
+  const ControlView& control = owner_.control_view_;
+  line.Add("config_versions", control.versions)
+      .Add("config_age_ms", control.confirmed_at ? Millis(now - *control.confirmed_at) : -1)
+      .Add("config_parent", control.parent);
+  if (route_ != nullptr) return;
+  const std::string* host = request_->head().headers.Find("Host");
+  line.Add("host", host == nullptr ? std::string_view() : *host)
+      .Add("path", request_->head().path());
+}
+
 void Exchange::End(std::string_view outcome, std::uint16_t status, std::string_view reason) {
   if (state_ == State::kEnded) return;
   const auto self = shared_from_this();
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -112,6 +112,17 @@
   }
 }
 
+void Forwarder::SetControlView(ControlView view) {
+  if (view.versions != control_view_.versions) {
+    log_.Info(LogLine("configuration_version")
+                  .Add("versions", view.versions)
+                  .Add("config_index", table_index_.value())
+                  .Add("parent", view.parent)
+                  .text());
+  }
+  control_view_ = std::move(view);
+}
+
 bool Forwarder::MayHold() const noexcept { return held_.size() < kMaxHeldRequests; }
 
 void Forwarder::SetBackends(const schema::BackendList& list, common::Time read_at) {
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -58,6 +58,8 @@
 /// The entry counts as connected to the control members if the leader has confirmed the state of
 /// the member that responds within this time.
 constexpr std::uint64_t kMaxConfirmationAgeMs = 1500;
+/// Rounds of calls to control members that take longer are logged.
+constexpr milliseconds kSlowSearch{1000};
 constexpr unsigned kRpcThreads = 2;
 /// Interval between two counts of the streams for the heartbeat.
 constexpr milliseconds kStreamCountInterval{250};
@@ -150,6 +152,13 @@
   /// \returns an empty string, or a description of the error.
   std::string Start() {
     const schema::EntrySettings& settings = options_.settings;
+    metrics_.AddGauge("briarwood_configuration_age_seconds",
+                      "Time since the control members confirmed the configuration; -1 before",
+                      [this] {
+                        const auto confirmed_at = replica_.freshness();
+                        if (!confirmed_at) return -1.0;
+                        return common::ToSeconds(common::BootClock::now() - *confirmed_at);
+                      });
     row_subscription_ = replica_.Subscribe(
         [this](const std::vector<distribution::RowTable::RowKey>& changed) { OnChanged(changed); });
     reporter_.ReportFor({options_.incarnation});
@@ -510,7 +519,8 @@
             .on_response = [this](const schema::SyncResponse& response,
                                   common::Time sent_at) { OnResponse(response, sent_at); },
             .on_failure = [this](const std::string& parent,
-                                 const std::string& problem) { OnSyncFailure(parent, problem); }};
+                                 const std::string& problem) { OnSyncFailure(parent, problem); },
+            .on_round = [this](const distribution::SyncRound& round) { OnSyncRound(round); }};
   }
 
   void FillSyncRequest(schema::SyncRequest& request) {
@@ -549,6 +559,7 @@
     if (fresh) {
       boost::asio::post(loop_, [this, now] { forwarder_.crash_guard().OnControlContact(now); });
     }
+    PostControlView();
     if (fresh && control_disconnected_.exchange(false)) {
       log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
     }
@@ -588,6 +599,32 @@
     UpdateParentsLocked();
   }
 
+  void PostControlView() {
+    std::string versions;
+    for (const auto& [document, version] : replica_.document_versions()) {
+      if (!versions.empty()) versions += ',';
+      versions.append(document).append(":").append(std::to_string(version));
+    }
+    boost::asio::post(loop_,
+                      [this, view = impl::ControlView{.confirmed_at = replica_.freshness(),
+                                                      .parent = sync_client_.parent(),
+                                                      .versions = std::move(versions)}]() mutable {
+                        forwarder_.SetControlView(std::move(view));
+                      });
+  }
+
+  /// Logs a search that changed the parent, took long or found none.
+  void OnSyncRound(const distribution::SyncRound& round) {
+    const std::string previous = std::exchange(last_parent_, round.parent);
+    if (previous == round.parent && round.duration < kSlowSearch) return;
+    log_.Info(LogLine("control_search")
+                  .Add("parent", round.parent)
+                  .Add("before", previous)
+                  .Add("calls", round.calls)
+                  .Add("ms", std::chrono::duration_cast<milliseconds>(round.duration).count())
+                  .text());
+  }
+
   void OnSyncFailure(const std::string& parent, const std::string& problem) {
     if (control_disconnected_.exchange(true)) return;
     log_.Warn(LogLine("control_lost").Add("parent", parent).Add("problem", problem).text());
@@ -697,6 +734,8 @@
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
   std::atomic<bool> control_disconnected_ = false;
+  /// Parent of the last round; used on the thread of the sync client.
+  std::string last_parent_;
   std::atomic<std::size_t> in_flight_ = 0;
   std::mutex members_mutex_;
   std::vector<std::string> configured_members_ = ToVector(options_.settings.control_rpc());
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "briarwood/observability/log_line.h"
 #include "forwarding/impl/attempt.h"
 #include "forwarding/impl/forwarder.h"
 #include "forwarding/impl/replacement_pacer.h"
@@ -234,6 +235,10 @@
   /// \param body  explanation for the caller
   void Fail(std::uint16_t status, std::string_view reason, const std::string& body = {});
   void End(std::string_view outcome, std::uint16_t status, std::string_view reason);
+  /// Counts a refusal by a configuration that was not confirmed recently.
+  void CountOldRefusal() const;
+  /// Adds what the request was judged by, and the host and path of a request without a route.
+  void AddConfiguration(observability::LogLine& line, common::Time now) const;
   void LogEnd(std::string_view outcome, std::uint16_t status, std::string_view reason) const;
   [[nodiscard]] bool retryable() const;
   [[nodiscard]] common::RequestId id() const;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -52,6 +52,16 @@
   std::function<void(const common::CustomerId& customer)> on_run_started;
 };
 
+/// What the entry knows of the state of the control members.
+struct ControlView {
+  /// Time up to which the table holds everything that was committed.
+  std::optional<common::Time> confirmed_at;
+  /// Member that last confirmed it.
+  std::string parent;
+  /// Versions of the documents in the table, as "name:version" joined by commas.
+  std::string versions;
+};
+
 /// State that the requests of one entry share: configuration, backend servers, queues, connections
 /// and budgets. Belongs to the thread of the event loop.
 class Forwarder {
@@ -62,6 +72,8 @@
   Forwarder& operator=(const Forwarder&) = delete;
 
   void SetTable(std::shared_ptr<const routing::ForwardTable> table, common::LogIndex index);
+  /// Sets what is known of the control members; called after SetTable if the table has changed.
+  void SetControlView(ControlView view);
   /// \param read_at  time at which the list was read from the platform
   void SetBackends(const schema::BackendList& list, common::Time read_at);
   /// Records that the list was read again and has not changed, apart from the lengths of warm-ups.
@@ -199,6 +211,7 @@
   common::Random random_;
   std::shared_ptr<const routing::ForwardTable> table_;
   common::LogIndex table_index_;
+  ControlView control_view_;
   schema::BackendList backends_;
   std::optional<common::Time> list_read_at_;
   /// Backend servers in the list.
--- a/tests/distribution/sync_client_test.cc
+++ b/tests/distribution/sync_client_test.cc
@@ -16,10 +16,10 @@
 
 constexpr auto kTestTimeout = std::chrono::seconds(30);
 
-/// Parent with its own table and a fixed confirmation age.
+/// Parent with its own table and a confirmation of a set age.
 class Parent {
  public:
-  explicit Parent(milliseconds age) : server_({}, Source(age)) {
+  explicit Parent(milliseconds age) : age_(age), server_({}, Source()) {
     server_.Register(rpc_);
     address_ =
         "127.0.0.1:" + std::to_string(rpc_.Start({.listen = "127.0.0.1:0", .threads = 2}).value());
@@ -34,22 +34,26 @@
     server_.Notify(LogIndex(index));
   }
 
+  void SetAge(milliseconds age) { age_ = age; }
+
   [[nodiscard]] const std::string& address() const { return address_; }
   SyncServer& server() { return server_; }
 
  private:
-  SyncSource Source(milliseconds age) {
+  SyncSource Source() {
     SyncSource source;
     source.delta = [this](LogIndex since, const RowFilter& filter) {
       const std::lock_guard lock(mutex_);
       return table_.DeltaSince(since, filter);
     };
-    source.confirmation = [age] {
-      return Confirmation{.confirmed_at = common::BootClock::now() - age, .fence = common::Term(3)};
+    source.confirmation = [this] {
+      return Confirmation{.confirmed_at = common::BootClock::now() - age_.load(),
+                          .fence = common::Term(3)};
     };
     return source;
   }
 
+  std::atomic<milliseconds> age_;
   std::mutex mutex_;
   RowTable table_;
   rpc::Server rpc_;
@@ -61,12 +65,25 @@
 class Child {
  public:
   Child(std::vector<std::string> parents, milliseconds period)
-      : client_({.parents = std::move(parents),
-                 .period = period,
-                 .timeout = std::chrono::duration_cast<milliseconds>(kTestTimeout)},
-                replica_, {.fill = [this](schema::SyncRequest& request) {
-                  request.mutable_node()->set_rpc_address(address_);
-                }}) {
+      : Child({.parents = std::move(parents),
+               .period = period,
+               .timeout = std::chrono::duration_cast<milliseconds>(kTestTimeout)}) {}
+
+  /// \param on_response  called after a response was applied
+  explicit Child(
+      SyncClientOptions options, std::function<void()> on_response = [] {})
+      : client_(std::move(options), replica_,
+                {.fill =
+                     [this](schema::SyncRequest& request) {
+                       request.mutable_node()->set_rpc_address(address_);
+                     },
+                 .on_response = [on_response = std::move(on_response)](
+                                    const schema::SyncResponse&, common::Time) { on_response(); },
+                 .on_round =
+                     [this](const SyncRound& round) {
+                       const std::lock_guard lock(rounds_mutex_);
+                       rounds_.push_back(round);
+                     }}) {
     client_.Register(rpc_);
     address_ =
         "127.0.0.1:" + std::to_string(rpc_.Start({.listen = "127.0.0.1:0", .threads = 2}).value());
@@ -83,6 +100,9 @@
     return Wait();
   }
 
+  /// Parents are told no address, so that changes arrive with the periodic syncs only.
+  void DisableNotifications() { address_.clear(); }
+
   void Watch(const std::string& key) {
     arrived_ = std::promise<void>();
     subscription_ = replica_.Subscribe([this, key](const auto& changed) {
@@ -99,7 +119,14 @@
   Replica& replica() { return replica_; }
   SyncClient& client() { return client_; }
 
+  [[nodiscard]] std::vector<SyncRound> rounds() const {
+    const std::lock_guard lock(rounds_mutex_);
+    return rounds_;
+  }
+
  private:
+  mutable std::mutex rounds_mutex_;
+  std::vector<SyncRound> rounds_;
   std::promise<void> arrived_;
   Replica replica_;
   Replica::Subscription subscription_;
@@ -140,6 +167,38 @@
   EXPECT_EQ(child.client().parent(), healthy.address());
 }
 
+// Guards against a search for a parent that leaves no trace, so that a late change cannot be told
+// from one that was never made.
+TEST(SyncClientTest, ReportsParentAndCallsOfARound) {
+  Parent isolated(std::chrono::hours(1));
+  isolated.Put("row", 1);
+  Parent healthy(milliseconds(0));
+  healthy.Put("row", 1);
+  Child child({isolated.address(), healthy.address()}, milliseconds(20));
+  ASSERT_TRUE(child.StartAndWaitFor("row"));
+  const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+  while (child.rounds().empty() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  ASSERT_FALSE(child.rounds().empty());
+  EXPECT_EQ(child.rounds().front().parent, healthy.address());
+  EXPECT_EQ(child.rounds().front().calls, 2U);
+}
+
+// Guards against a child that cannot say which versions its table contains.
+TEST(ReplicaTest, HoldsTheVersionsOfTheDocuments) {
+  SyncSource source;
+  source.delta = [](LogIndex, const RowFilter&) {
+    return Delta{.index = LogIndex(7), .document_versions = {{"platform", 12}}};
+  };
+  source.confirmation = [] { return Confirmation{}; };
+  SyncServer server({}, source);
+  Replica replica;
+  ASSERT_TRUE(replica.Apply(server.MakeResponse({}, common::Time{}), common::Time{}));
+  EXPECT_EQ(replica.document_versions().at("platform"), 12U);
+  EXPECT_EQ(replica.DeltaSince(LogIndex(7), {}).document_versions.at("platform"), 12U);
+}
+
 // Guards against freshness that is computed from the time of arrival or from the parent's clock.
 TEST(ReplicaTest, FreshnessIsSendTimeMinusAgeAndNeverFalls) {
   Replica replica;
--- a/tests/support/test_control.h
+++ b/tests/support/test_control.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "briarwood/control/control_state.h"
+#include "briarwood/distribution/error.h"
 #include "briarwood/distribution/sync_server.h"
 #include "briarwood/rpc/server.h"
 #include "control/control_state_fixture.h"
@@ -60,6 +61,9 @@
     isolated_at_ = common::BootClock::now();
   }
 
+  /// While it is not reachable, it answers no sync.
+  void SetReachable(bool reachable) { reachable_ = reachable; }
+
   /// Sets the number of entries that syncing entries are told.
   void SetEntryCount(std::uint32_t entries) { entries_ = entries; }
 
@@ -74,6 +78,7 @@
   distribution::SyncSource MakeSource() {
     distribution::SyncSource source;
     source.delta = [this](common::LogIndex since, const distribution::RowFilter& filter) {
+      if (!reachable_) throw distribution::DistributionError("not reachable");
       const std::lock_guard lock(mutex_);
       return state_.table().DeltaSince(since, filter);
     };
@@ -99,6 +104,7 @@
   std::uint64_t index_ = 0;
   common::Time isolated_at_;
   std::atomic<std::uint32_t> entries_ = 0;
+  std::atomic<bool> reachable_ = true;
   std::vector<schema::Command> commands_;
   rpc::Server rpc_;
   distribution::SyncServer sync_;
