Reproduce late configurations and refusals by them in tests that fail

Cause (suspected from the code and the logs of soak runs): an entry calls its control members one after the other and waits 600 ms for each that does not answer, and it refuses requests by any table it has.

Change: two tests of the sync client with four silent parents, three of a forwarding entry whose control member does not answer its syncs.

--- a/tests/distribution/sync_client_test.cc
+++ b/tests/distribution/sync_client_test.cc
@@ -7,6 +7,7 @@
 
 #include "briarwood/distribution/error.h"
 #include "briarwood/distribution/sync_server.h"
+#include "support/raw_server.h"
 
 namespace briarwood::distribution {
 namespace {
@@ -199,6 +200,87 @@
   EXPECT_EQ(replica.DeltaSince(LogIndex(7), {}).document_versions.at("platform"), 12U);
 }
 
+/// Time within which a change has to reach every child that a parent with a current table can
+/// reach.
+constexpr milliseconds kInForceBound{2000};
+constexpr std::size_t kSilentParents = 4;
+
+/// Addresses that take connections and answer nothing, like a machine that has lost power.
+class SilentParents {
+ public:
+  SilentParents() {
+    for (std::size_t i = 0; i < kSilentParents; ++i) {
+      servers_.push_back(std::make_unique<testing_support::RawServer>(
+          [this](const auto& /*connection*/, const auto& /*request*/) { ++calls_; }));
+    }
+  }
+
+  [[nodiscard]] std::vector<std::string> addresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& server : servers_) addresses.push_back(server->address());
+    return addresses;
+  }
+  [[nodiscard]] int calls() const { return calls_; }
+
+ private:
+  std::atomic<int> calls_ = 0;
+  std::vector<std::unique_ptr<testing_support::RawServer>> servers_;
+};
+
+/// \returns the time until `child` has the row, or `kTestTimeout`.
+common::Duration TimeUntilRow(Child& child, const std::string& key) {
+  const common::Time start = common::BootClock::now();
+  while (!child.replica().FindKey(key) && common::BootClock::now() - start < kTestTimeout) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return common::BootClock::now() - start;
+}
+
+// Guards against a search for a parent, begun while no parent was current, that waits for one
+// silent parent after the other while a change is ready elsewhere: an entry then refuses new routes
+// and keys.
+TEST(SyncClientTest, SilentParentsDoNotDelayANotifiedChange) {
+  const SilentParents silent;
+  Parent parent(milliseconds(0));
+  parent.Put("first", 1);
+  std::vector<std::string> parents{parent.address()};
+  for (const std::string& address : silent.addresses()) parents.push_back(address);
+  Child child(SyncClientOptions{.parents = parents});
+  ASSERT_TRUE(child.StartAndWaitFor("first"));
+  parent.SetAge(std::chrono::hours(1));
+  const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+  while (silent.calls() == 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  ASSERT_GT(silent.calls(), 0);
+  parent.SetAge(milliseconds(0));
+  parent.Put("second", 2);
+  EXPECT_LT(TimeUntilRow(child, "second"), kInForceBound);
+}
+
+// Guards against a list of parents that changes with every response, so that each round begins with
+// the same silent parents.
+TEST(SyncClientTest, SilentParentsInAChangingListDoNotDelayAChange) {
+  const SilentParents silent;
+  Parent parent(milliseconds(0));
+  parent.Put("first", 1);
+  std::vector<std::string> parents = silent.addresses();
+  parents.push_back(parent.address());
+  std::atomic<SyncClient*> client = nullptr;
+  std::atomic<bool> longer = false;
+  Child child(SyncClientOptions{.parents = parents}, [&] {
+    std::vector<std::string> reported = parents;
+    longer = !longer;
+    if (longer) reported.push_back(silent.addresses().front());
+    if (SyncClient* known = client.load()) known->SetParents(reported);
+  });
+  client = &child.client();
+  child.DisableNotifications();
+  ASSERT_TRUE(child.StartAndWaitFor("first"));
+  parent.Put("second", 2);
+  EXPECT_LT(TimeUntilRow(child, "second"), kInForceBound);
+}
+
 // Guards against freshness that is computed from the time of arrival or from the parent's clock.
 TEST(ReplicaTest, FreshnessIsSendTimeMinusAgeAndNeverFalls) {
   Replica replica;
--- a/tests/forwarding/stale_configuration_test.cc
+++ b/tests/forwarding/stale_configuration_test.cc
@@ -25,5 +25,45 @@
   EXPECT_TRUE(Eventually([&] { return age() > 1.5; }));
 }
 
+// Guards against an entry that refuses a new key by a configuration that is older than the one that
+// the control members hold.
+TEST_F(StaleConfigurationTest, NewKeyIsNotRefusedByAnOlderConfiguration) {
+  StartReadyEntryWithOneBackend();
+  control_.SetReachable(false);
+  Configure(2, "new-key");
+  const std::string answer = Call("GET /read/x", "Briarwood-Deadline-Ms: 600\r\n", "", "new-key");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("\r\nRetry-After: "), std::string::npos) << answer;
+}
+
+// Guards against the same for a route.
+TEST_F(StaleConfigurationTest, UnknownRouteIsNotRefusedByAnOlderConfiguration) {
+  StartReadyEntryWithOneBackend();
+  control_.SetReachable(false);
+  const std::string answer = Call("GET /new/x", "Briarwood-Deadline-Ms: 600\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+}
+
+// Guards against a request that is rejected though the configuration that allows it arrives in
+// time.
+TEST_F(StaleConfigurationTest, RequestIsServedOnceTheConfigurationIsConfirmed) {
+  StartReadyEntryWithOneBackend();
+  control_.SetReachable(false);
+  Configure(2, "new-key");
+  RawCall call(node_->port(), Request("GET /read/x", "", "", "new-key"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  control_.SetReachable(true);
+  const std::string answer = call.Finish();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
+// Guards against an entry that answers 503 for good where the configuration refuses the request.
+TEST_F(StaleConfigurationTest, ConfirmedConfigurationRefuses) {
+  StartReadyEntryWithOneBackend();
+  EXPECT_TRUE(Call("GET /nowhere/x").starts_with("HTTP/1.1 404 "));
+  EXPECT_TRUE(Call("GET /read/x", "", "", "wrong").starts_with("HTTP/1.1 401 "));
+  EXPECT_TRUE(Call("GET /read/x", "", "", "").starts_with("HTTP/1.1 401 "));
+}
+
 }  // namespace
 }  // namespace briarwood::forwarding
