Check in the soak that acknowledged configurations are in force at each entry

Cause: the soak dropped each 404 and 401 of a probe while faults ran, its versions had one route each, so that a newer one explained every refusal, and its members never changed.

Change: configurations keep the routes and keys of earlier versions, and each entry is called every 0.2 s for the newest version that is due. Refusals count only for entries in touch. The tables of the members are compared at the end.

--- a/cmake/briarwood.cmake
+++ b/cmake/briarwood.cmake
@@ -108,6 +108,12 @@
                    --folder ${PROJECT_BINARY_DIR}/soak/crash-on-part --seed 1 --crash-on-part
                    --faults-seconds 25 --calm-seconds 4)
   set_tests_properties(Soak.CrashOnPart PROPERTIES TIMEOUT 180)
+  add_test(NAME Soak.ReplacedMembers
+           COMMAND briarwood-soak --programs ${PROJECT_BINARY_DIR}
+                   --templates ${PROJECT_SOURCE_DIR}/platform
+                   --folder ${PROJECT_BINARY_DIR}/soak/replaced-members --seed 31 --replace-members
+                   --faults-seconds 45 --calm-seconds 4 --entries 8 --callers 8)
+  set_tests_properties(Soak.ReplacedMembers PROPERTIES TIMEOUT 180)
 endfunction()
 
 # One test program per folder of tests/: tests/<module>/*_test.cc.
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -17,7 +17,8 @@
     "tear_log",        "reload",          "delay_link",       "reset_link",
     "cut_to_server",   "cut_from_server", "silence_link",     "crash_backend",
     "replace_backend", "platform_down",   "quiet_backend",    "stop_entries_in_turn",
-    "crash_on_part",   "limit_backend",   "leaving_backend",  "back_off_backend"};
+    "crash_on_part",   "limit_backend",   "leaving_backend",  "back_off_backend",
+    "replace_member",  "dark_leader",     "lose_spare_member"};
 
 constexpr milliseconds kMinFaultDuration{200};
 constexpr milliseconds kMaxFaultDuration{4000};
@@ -51,7 +52,7 @@
 }
 
 /// Kinds that are not chosen at random, at the end of the enumeration.
-constexpr std::size_t kPlannedKinds = 4;
+constexpr std::size_t kPlannedKinds = 7;
 /// Kinds that may accompany kCrashOnPart.
 constexpr FaultKind kKindsBesideCrashOnPart[] = {FaultKind::kCrashBackend, FaultKind::kReload,
                                                  FaultKind::kReplaceBackend,
@@ -68,6 +69,63 @@
   return static_cast<FaultKind>(random.Below(kFaultKinds - kPlannedKinds));
 }
 
+constexpr double kDarkLeaderProbability = 0.25;
+constexpr seconds kFirstReplacement{1};
+/// Time from the loss of a member until an empty one starts, while the group is otherwise
+/// undisturbed.
+constexpr seconds kReplacementDelay{1};
+/// Time for an empty member to join and to replace the lost one.
+constexpr seconds kReplacementInterval{4};
+/// Time in which a spare member joins, before it is lost.
+constexpr seconds kSpareLifetime{2};
+/// Time from the loss of a member to the end of the other members' processes.
+constexpr milliseconds kLossToKill{500};
+constexpr milliseconds kMinDownPeriod{300};
+constexpr std::uint64_t kDownSpreadMs = 4000;
+/// Time for the group to recover, and for the configuration to be in force, after a fault.
+constexpr seconds kRecoveryInterval{8};
+constexpr std::uint64_t kRecoverySpreadMs = 1000;
+
+/// Replaces all members, then stops the group again and again.
+std::vector<PlannedFault> PlanReplacements(const FaultPlanOptions& options) {
+  common::Random random(options.seed);
+  std::vector<PlannedFault> plan;
+  common::Duration at = kFirstReplacement;
+  for (std::size_t member = 0; member < options.members && at < options.duration; ++member) {
+    // The first member is always the one that has been there longest.
+    plan.push_back(
+        {.at = at, .kind = FaultKind::kReplaceMember, .target = 0, .duration = kReplacementDelay});
+    at += kReplacementInterval;
+  }
+  plan.push_back(
+      {.at = at, .kind = FaultKind::kLoseSpareMember, .target = 0, .duration = kSpareLifetime});
+  at += kSpareLifetime;
+  while (at < options.duration) {
+    const common::Duration recovery =
+        kRecoveryInterval + milliseconds(random.Below(kRecoverySpreadMs));
+    const common::Duration down = kMinDownPeriod + milliseconds(random.Below(kDownSpreadMs));
+    if (random.Chance(kDarkLeaderProbability)) {
+      plan.push_back({.at = at,
+                      .kind = FaultKind::kDarkLeader,
+                      .target = random.Next() % 1024,
+                      .duration = down});
+      at += recovery;
+      continue;
+    }
+    // The machine of one member stays lost while the others come back.
+    plan.push_back({.at = at,
+                    .kind = FaultKind::kReplaceMember,
+                    .target = random.Next() % 1024,
+                    .duration = kLossToKill + recovery});
+    plan.push_back({.at = at + kLossToKill,
+                    .kind = FaultKind::kKillAllMembers,
+                    .target = random.Next() % 1024,
+                    .duration = down});
+    at += kLossToKill + recovery + kReplacementInterval;
+  }
+  return plan;
+}
+
 /// Mean time between two statements of backend servers.
 constexpr seconds kStatementInterval{3};
 constexpr FaultKind kStatementKinds[] = {FaultKind::kLimitBackend, FaultKind::kLeavingBackend,
@@ -103,6 +161,7 @@
 std::string_view NameOf(FaultKind kind) { return kFaultNames[static_cast<std::size_t>(kind)]; }
 
 std::vector<PlannedFault> MakeFaultPlan(const FaultPlanOptions& options) {
+  if (options.replace_members) return PlanReplacements(options);
   common::Random random(options.seed);
   std::vector<PlannedFault> plan;
   common::Duration at{};
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -43,8 +43,15 @@
   kLeavingBackend,
   /// The server rejects some requests and wants none for a time.
   kBackOffBackend,
+  /// The machine of a member is lost for good; after the duration an empty one joins at another
+  /// address.
+  kReplaceMember,
+  /// The machine of the leader is without power.
+  kDarkLeader,
+  /// An empty member joins the complete group and is lost for good after the duration.
+  kLoseSpareMember,
 };
-inline constexpr std::size_t kFaultKinds = 24;
+inline constexpr std::size_t kFaultKinds = 27;
 
 [[nodiscard]] std::string_view NameOf(FaultKind kind);
 
@@ -65,6 +72,13 @@
   /// The plan has one kCrashOnPart that lasts to its end, and otherwise fewer faults, of kinds that
   /// leave the members and most entries in touch. Without this it has none.
   bool crash_on_part = false;
+  /// The plan replaces all members, one after the other, and adds one that is lost. Then it stops
+  /// the group again and again: the leader is without power, or one member is lost for longer and
+  /// the others are killed. After each of these the group has time to recover, and no other faults
+  /// occur.
+  bool replace_members = false;
+  /// Number of members, for `replace_members`.
+  std::size_t members = 3;
 };
 
 /// Generates random faults, which may overlap and occur in series.
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -3,10 +3,12 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -28,7 +30,6 @@
 constexpr std::size_t kFirstEntryHost = 40;
 constexpr std::size_t kProxyOffset = 100;
 
-constexpr milliseconds kRestartDelay{300};
 constexpr milliseconds kStopTimeout{8000};
 /// A daemon blocks the signals that it handles within this time after its start.
 constexpr milliseconds kSignalSetupPeriod{200};
@@ -134,11 +135,11 @@
   restart_at_.reset();
 }
 
-void Daemon::Kill(common::Time now) {
+void Daemon::Kill(common::Time now, common::Duration restart_delay) {
   if (process_ == nullptr) return;
   process_->Kill();
   process_.reset();
-  restart_at_ = now + kRestartDelay;
+  restart_at_ = now + restart_delay;
 }
 
 void Daemon::Pause() {
@@ -178,6 +179,38 @@
   fs::remove_all(data_folder_);
 }
 
+void Daemon::TakePower() {
+  http_link_->SetDark(true);
+  rpc_link_->SetDark(true);
+  if (process_ != nullptr) process_->Kill();
+  process_.reset();
+  restart_at_.reset();
+}
+
+void Daemon::RestorePower(common::Time now) {
+  http_link_->SetDark(false);
+  rpc_link_->SetDark(false);
+  restart_at_ = now;
+}
+
+std::string Daemon::rpc_address() const {
+  return address_ + ":" + (role_ == Role::kMember ? kMemberRpcPort : kEntryRpcPort);
+}
+
+std::uint64_t Daemon::HighestLedTerm() const {
+  constexpr std::string_view kLed = "consensus: leader in term ";
+  std::ifstream log(options_.folder + "/" + name_ + ".log");
+  std::uint64_t highest = 0;
+  for (std::string line; std::getline(log, line);) {
+    const std::size_t at = line.find(kLed);
+    if (at == std::string::npos) continue;
+    std::uint64_t term = 0;
+    std::from_chars(line.data() + at + kLed.size(), line.data() + line.size(), term);
+    highest = std::max(highest, term);
+  }
+  return highest;
+}
+
 void Daemon::TearLog(common::Time now, std::uint64_t seed) {
   if (process_ == nullptr) return;
   Kill(now);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -29,6 +29,9 @@
   std::string platform;
 };
 
+/// Time from the end of a process to its next start.
+inline constexpr std::chrono::milliseconds kRestartDelay{300};
+
 /// The soak cannot be set up.
 class SoakError : public common::Error {
  public:
@@ -44,15 +47,22 @@
   Daemon(http::EventLoop& loop, const FleetOptions& options, Role role, std::size_t number);
 
   void Start(bool bootstrap);
-  void Kill(common::Time now);
+  /// Kills the process, which is started again after the delay.
+  void Kill(common::Time now, common::Duration restart_delay = kRestartDelay);
   void Pause();
   void Resume();
+  /// Sets the seeds for the next start.
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   /// Sends SIGTERM; the process is restarted after its exit.
   /// \returns false if there is no process or it is stopping already.
   bool Stop(common::Time now);
   void Reload();
   /// Kills the process and deletes its data folder.
   void Wipe(common::Time now);
+  /// Takes the power of the machine: the process is killed, and its listeners do not answer.
+  void TakePower();
+  /// Starts the process again after TakePower.
+  void RestorePower(common::Time now);
   /// Kills the process and appends an incomplete record to its log.
   void TearLog(common::Time now, std::uint64_t seed);
   /// Handles an exit of the process, and restarts it after the delay. Kills a process that does not
@@ -63,6 +73,7 @@
   /// \returns the wait status, or nothing if the process did not exit in time.
   std::optional<int> Shutdown(std::chrono::milliseconds timeout);
 
+  [[nodiscard]] bool running() const noexcept { return process_ != nullptr; }
   [[nodiscard]] const std::string& name() const noexcept { return name_; }
   /// Number of starts so far; identifies the current process.
   [[nodiscard]] std::uint64_t lifetime() const noexcept { return lifetime_; }
@@ -71,6 +82,10 @@
   /// Link to the HTTP listener for callers (entry) or operators (member).
   [[nodiscard]] Link& http_link() noexcept { return *http_link_; }
   [[nodiscard]] Link& rpc_link() noexcept { return *rpc_link_; }
+  /// Address of the RPC listener itself, without the link.
+  [[nodiscard]] std::string rpc_address() const;
+  /// \returns the highest term in which this member has led, as its log shows; 0 if it has not.
+  [[nodiscard]] std::uint64_t HighestLedTerm() const;
   [[nodiscard]] const std::string& ready_address() const noexcept { return ready_address_; }
 
  private:
--- a/soak/link.cc
+++ b/soak/link.cc
@@ -95,7 +95,7 @@
     if (closed_ || !*alive_) return;
     direction.ended = static_cast<bool>(error);
     direction.bytes = error ? 0 : bytes;
-    if (error && error != asio::error::eof) {
+    if (error && error != asio::error::eof && !silent_) {
       Reset();
       return;
     }
@@ -188,7 +188,9 @@
 void Link::Accept() {
   acceptor_.async_accept([this, alive = alive_](const ErrorCode& error, http::Socket client) {
     if (!*alive || error == asio::error::operation_aborted) return;
-    if (!error && !reject_connections_) {
+    if (!error && dark_) {
+      dark_connections_.push_back(std::move(client));
+    } else if (!error && !reject_connections_) {
       auto session = std::make_shared<Session>(*this, std::move(client));
       std::erase_if(sessions_, [](const auto& existing) { return existing->closed(); });
       sessions_.push_back(session);
@@ -221,6 +223,20 @@
   for (const auto& session : sessions_) session->Silence();
 }
 
+void Link::SetDark(bool dark) {
+  dark_ = dark;
+  if (dark) {
+    Silence();
+    return;
+  }
+  Reset();
+  for (http::Socket& connection : std::exchange(dark_connections_, {})) {
+    ErrorCode ignored;
+    connection.set_option(asio::socket_base::linger(true, 0), ignored);
+    connection.close(ignored);
+  }
+}
+
 void Link::RejectConnections(bool reject) {
   reject_connections_ = reject;
   if (reject) Reset();
--- a/soak/link.h
+++ b/soak/link.h
@@ -37,6 +37,9 @@
   void Reset();
   /// Stops forwarding on the open connections without closing them; new connections work.
   void Silence();
+  /// Behaves like a machine without power: no byte is forwarded and no connection is closed,
+  /// neither an open nor a new one. When it ends, all these connections are reset.
+  void SetDark(bool dark);
   /// Closes new connections immediately and resets the open ones.
   void RejectConnections(bool reject);
 
@@ -60,6 +63,9 @@
   bool cut_to_server_ = false;
   bool cut_from_server_ = false;
   bool reject_connections_ = false;
+  bool dark_ = false;
+  /// Connections that were accepted while the link was dark.
+  std::vector<http::Socket> dark_connections_;
   /// Set to false by the destructor, so that pending callbacks do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/soak/operators.cc
+++ b/soak/operators.cc
@@ -20,6 +20,8 @@
 constexpr std::uint64_t kMaxVersionStep = 5;
 constexpr double kInvalidProbability = 0.1;
 constexpr milliseconds kProbeInterval{100};
+/// Each entry is called for the newest due version once in this many intervals.
+constexpr std::uint64_t kKeptProbeRounds = 2;
 
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kFirstClientError = 400;
@@ -34,6 +36,13 @@
 
 }  // namespace
 
+std::uint64_t VersionSequence::Next(common::Random& random) {
+  if (last_ != 0) kept_.push_back(last_);
+  if (kept_.size() > kKeptVersions) kept_.erase(kept_.begin());
+  last_ += 1 + random.Below(kMaxVersionStep);
+  return last_;
+}
+
 ConfigurationWriter::ConfigurationWriter(http::EventLoop& loop, std::uint64_t seed,
                                          std::vector<Listener> members, VersionSequence& versions,
                                          ConfigurationChecker& checker)
@@ -56,14 +65,13 @@
     idle_ = true;
     return;
   }
-  versions_.last += 1 + random_.Below(kMaxVersionStep);
-  version_ = versions_.last;
+  version_ = versions_.Next(random_);
   // Until one configuration is acknowledged, nothing else can be observed; all are valid until
   // then.
   valid_ = checker_.acknowledged() == 0 || !random_.Chance(kInvalidProbability);
-  content_ = MakeConfiguration(version_, valid_);
+  content_ = MakeConfiguration(version_, versions_.kept(), valid_);
   attempts_ = 0;
-  checker_.OnSent(version_, content_);
+  checker_.OnSent(version_, content_, versions_.kept());
   Send();
 }
 
@@ -123,6 +131,14 @@
       random_.Chance(0.5) ? 0 : random_.Below(std::min(kRecentVersions, seen_versions_.size()));
   ProbeEntry(entries_[random_.Below(entries_.size())],
              seen_versions_[seen_versions_.size() - 1 - back], [](std::uint16_t /*status*/) {});
+  const std::optional<std::uint64_t> due = configurations_.DueVersion(common::BootClock::now());
+  if (!due) return;
+  // Each entry is called in turn, with a route and a key alternately.
+  ++kept_probes_;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if ((kept_probes_ + i) % kKeptProbeRounds != 0) continue;
+    ProbeKept(entries_[i], *due, kept_probes_ / kKeptProbeRounds % 2 == 0);
+  }
 }
 
 void ConfigurationProbe::ReadMember(const Listener& member,
@@ -144,27 +160,43 @@
 
 void ConfigurationProbe::ProbeEntry(const Listener& entry, std::uint64_t version,
                                     std::function<void(std::uint16_t status)> on_response) {
+  const common::Time sent_at = common::BootClock::now();
+  CallEntry(entry, VersionPath(version), kCustomerA, kKeyA,
+            [self = shared_from_this(), name = entry.name, lifetime = entry.lifetime(), version,
+             sent_at, on_response = std::move(on_response)](std::uint16_t status) {
+              if (status == kOk) {
+                self->configurations_.OnServed(name, lifetime, version, sent_at,
+                                               common::BootClock::now());
+              }
+              on_response(status);
+            });
+}
+
+void ConfigurationProbe::ProbeKept(const Listener& entry, std::uint64_t version, bool by_key) {
+  const common::Time sent_at = common::BootClock::now();
+  CallEntry(entry, by_key ? "/read/" : KeptPath(version), by_key ? kCustomerC : kCustomerA,
+            by_key ? KeptKey(version) : kKeyA,
+            [self = shared_from_this(), name = entry.name, version, sent_at](std::uint16_t status) {
+              self->configurations_.OnKeptCall(name, version, status, sent_at,
+                                               common::BootClock::now());
+            });
+}
+
+void ConfigurationProbe::CallEntry(const Listener& entry, const std::string& path,
+                                   const std::string& customer, const std::string& key,
+                                   std::function<void(std::uint16_t status)> on_response) {
   const std::string id = "probe-" + std::to_string(++number_);
-  http::RequestHead head{.method = "GET", .target = VersionPath(version) + "x", .headers = {}};
+  http::RequestHead head{.method = "GET", .target = path + "x", .headers = {}};
   head.headers.Add("Host", kHost);
   head.headers.Add(platform::kAttemptId, id);
-  head.headers.Add(platform::kAuthorization, std::string("Bearer ") + kKeyA);
+  head.headers.Add(platform::kAuthorization, "Bearer " + key);
   head.headers.Add(platform::kDeadlineMs, std::to_string(kCallTimeout.count()));
   requests_.OnSent(
-      id,
-      {.kind = CallKind::kRetryable, .target = head.target, .body = {}, .customer = kCustomerA});
-  const common::Time sent_at = common::BootClock::now();
-  CallOnce(
-      loop_, entry.address, head, {}, kCallTimeout,
-      [self = shared_from_this(), name = entry.name, lifetime = entry.lifetime(), version, sent_at,
-       on_response = std::move(on_response)](const std::optional<HttpResponse>& response) {
-        const std::uint16_t status = response ? response->head.status : 0;
-        if (status == kOk) {
-          self->configurations_.OnServed(name, lifetime, version, sent_at,
-                                         common::BootClock::now());
-        }
-        on_response(status);
-      });
+      id, {.kind = CallKind::kRetryable, .target = head.target, .body = {}, .customer = customer});
+  CallOnce(loop_, entry.address, head, {}, kCallTimeout,
+           [on_response = std::move(on_response)](const std::optional<HttpResponse>& response) {
+             on_response(response ? response->head.status : 0);
+           });
 }
 
 }  // namespace briarwood::soak
--- a/soak/operators.h
+++ b/soak/operators.h
@@ -13,9 +13,19 @@
 
 namespace briarwood::soak {
 
-/// Counter that concurrent writers share; versions increase by random steps.
-struct VersionSequence {
-  std::uint64_t last = 0;
+/// Versions that concurrent writers share; they increase by random steps.
+class VersionSequence {
+ public:
+  /// Routes and keys of this many earlier versions are kept by a configuration.
+  static constexpr std::size_t kKeptVersions = 24;
+
+  std::uint64_t Next(common::Random& random);
+  /// \returns the versions that a configuration with the last version keeps.
+  [[nodiscard]] const std::vector<std::uint64_t>& kept() const noexcept { return kept_; }
+
+ private:
+  std::uint64_t last_ = 0;
+  std::vector<std::uint64_t> kept_;
 };
 
 /// Sends configurations sequentially; each is sent to random members until one accepts or rejects
@@ -26,6 +36,7 @@
                       VersionSequence& versions, ConfigurationChecker& checker);
 
   void Start() { SendNext(); }
+  void SetMembers(std::vector<Listener> members) { members_ = std::move(members); }
   /// Stops after the configuration in progress has been accepted or rejected.
   void Stop() noexcept { stopped_ = true; }
   [[nodiscard]] bool idle() const noexcept { return idle_; }
@@ -49,8 +60,9 @@
   bool idle_ = false;
 };
 
-/// Periodically reads the configuration from a random member, and calls a random entry to check
-/// which version is in force there.
+/// Periodically reads the configuration from a random member, calls a random entry to check which
+/// version is in force there, and calls each entry in turn for what the newest version that is due
+/// allows.
 class ConfigurationProbe : public std::enable_shared_from_this<ConfigurationProbe> {
  public:
   ConfigurationProbe(http::EventLoop& loop, std::uint64_t seed, std::vector<Listener> members,
@@ -59,6 +71,7 @@
 
   void Start();
   void Stop() noexcept { stopped_ = true; }
+  void SetMembers(std::vector<Listener> members) { members_ = std::move(members); }
 
   /// Reads the configuration from a member once.
   /// \param on_version  called with the version, or 0 if the read failed
@@ -71,6 +84,10 @@
  private:
   void Wait();
   void Probe();
+  /// Calls an entry for a route or with a key that a version has added.
+  void ProbeKept(const Listener& entry, std::uint64_t version, bool by_key);
+  void CallEntry(const Listener& entry, const std::string& path, const std::string& customer,
+                 const std::string& key, std::function<void(std::uint16_t status)> on_response);
 
   http::EventLoop& loop_;
   common::Random random_;
@@ -81,6 +98,7 @@
   http::Timer timer_;
   std::vector<std::uint64_t> seen_versions_;
   std::uint64_t number_ = 0;
+  std::uint64_t kept_probes_ = 0;
   bool stopped_ = false;
 };
 
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -15,9 +15,11 @@
 
 options::options_description MakeDescription(SoakOptions& soak, std::uint64_t& faults_s,
                                              std::uint64_t& calm_s, std::uint64_t& mean_interval_ms,
-                                             std::uint64_t& runs) {
+                                             std::uint64_t& runs, bool& keep_folders) {
   options::options_description description("Options");
   description.add_options()("help", "print this text and exit")(
+      "keep-folders", options::bool_switch(&keep_folders),
+      "keep the folders of runs without a violation")(
       "programs", options::value(&soak.programs)->required(), "folder with the daemons")(
       "templates", options::value(&soak.templates)->required(),
       "folder with the settings templates")(
@@ -33,6 +35,8 @@
       "mean time between the start times of consecutive faults")(
       "crash-on-part", options::bool_switch(&soak.crash_on_part),
       "requests with one part of a prompt crash each backend server")(
+      "replace-members", options::bool_switch(&soak.replace_members),
+      "members are replaced at other addresses, and the group is stopped again and again")(
       "members", options::value(&soak.members)->default_value(soak.members),
       "number of control members")(
       "entries", options::value(&soak.entries)->default_value(soak.entries), "entries")(
@@ -46,7 +50,9 @@
   std::uint64_t calm_s = 0;
   std::uint64_t mean_interval_ms = 0;
   std::uint64_t runs = 0;
-  const auto description = MakeDescription(soak, faults_s, calm_s, mean_interval_ms, runs);
+  bool keep_folders = false;
+  const auto description =
+      MakeDescription(soak, faults_s, calm_s, mean_interval_ms, runs, keep_folders);
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
   if (values.contains("help")) {
@@ -63,9 +69,9 @@
     soak.folder = folder + "/seed-" + std::to_string(soak.seed);
     const bool passed = briarwood::soak::RunSoak(soak, std::cout);
     std::cout.flush();
-    if (passed) {
+    if (passed && !keep_folders) {
       std::filesystem::remove_all(soak.folder);
-    } else {
+    } else if (!passed) {
       exit_code = kFailure;
     }
   }
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "briarwood/rpc/client.h"
+#include "fleet.pb.h"
 #include "soak/answer_checker.h"
 #include "soak/caller.h"
 #include "soak/configuration_source.h"
@@ -57,6 +59,9 @@
 
 /// One caller of this many is slow.
 constexpr std::size_t kSlowCallerInterval = 4;
+/// Part of the disturbances: faults of any member.
+constexpr const char* kCore = "core";
+constexpr milliseconds kTableReadTimeout{2000};
 constexpr std::size_t kCrashingCallers = 3;
 constexpr std::size_t kPlainBackends = 3;
 constexpr std::size_t kStreamBackends = 4;
@@ -84,6 +89,28 @@
   std::function<void()> run;
 };
 
+/// \returns the values of the rows of the configuration that a member serves, by kind and id.
+/// Throws
+///   rpc::RpcError.
+std::map<std::string, std::string> ReadConfigurationRows(const std::string& rpc_address) {
+  rpc::Client client({.address = rpc_address, .timeout = kTableReadTimeout});
+  const auto response = client.Call<schema::SyncResponse>("Sync", schema::SyncRequest());
+  std::map<std::string, std::string> rows;
+  for (const schema::Row& row : response.rows()) {
+    switch (row.kind()) {
+      case schema::ROW_KIND_CUSTOMER:
+      case schema::ROW_KIND_FORWARD_ROUTE:
+      case schema::ROW_KIND_SERVICE:
+      case schema::ROW_KIND_CALLER_LIMITS:
+        rows[std::to_string(row.kind()) + " " + row.id()] = row.value();
+        break;
+      default:
+        break;
+    }
+  }
+  return rows;
+}
+
 struct CallCounts {
   std::size_t calls = 0;
   std::size_t served = 0;
@@ -109,10 +136,13 @@
     plan_ = MakeFaultPlan({.seed = options_.seed,
                            .duration = options_.faults,
                            .mean_interval = options_.mean_interval,
-                           .crash_on_part = options_.crash_on_part});
+                           .crash_on_part = options_.crash_on_part,
+                           .replace_members = options_.replace_members,
+                           .members = options_.members});
     RunFaults();
     RunCalm();
     ReadBack();
+    CompareTables();
     StopAll();
     Report();
     return log_.count() == 0;
@@ -263,18 +293,19 @@
   }
 
   void StartDaemons() {
-    const FleetOptions fleet{.programs = options_.programs,
-                             .templates = options_.templates,
-                             .folder = options_.folder,
-                             .network = network_,
-                             .members = options_.members,
-                             .entries = options_.entries,
-                             .platform = platform_link_->address()};
+    fleet_ = FleetOptions{.programs = options_.programs,
+                          .templates = options_.templates,
+                          .folder = options_.folder,
+                          .network = network_,
+                          .members = options_.members,
+                          .entries = options_.entries,
+                          .platform = platform_link_->address()};
     for (std::size_t i = 0; i < options_.members; ++i) {
-      members_.push_back(std::make_unique<Daemon>(loop_, fleet, Daemon::Role::kMember, i));
+      members_.push_back(std::make_unique<Daemon>(loop_, fleet_, Daemon::Role::kMember, i));
     }
+    next_member_ = options_.members;
     for (std::size_t i = 0; i < options_.entries; ++i) {
-      entries_.push_back(std::make_unique<Daemon>(loop_, fleet, Daemon::Role::kEntry, i));
+      entries_.push_back(std::make_unique<Daemon>(loop_, fleet_, Daemon::Role::kEntry, i));
     }
     for (Daemon* daemon : Daemons()) {
       daemon->Start(/*bootstrap=*/true);
@@ -285,6 +316,27 @@
     links_.push_back(platform_link_.get());
   }
 
+  /// True if no fault affected the entry, the members or their links in this time.
+  [[nodiscard]] bool InTouch(const std::string& entry, common::Time from, common::Time to) const {
+    if (no_majority_at_ >= from) return false;
+    std::vector<std::string> parts{kCore, entry, RestartOf(entry)};
+    const auto add_links = [&](Daemon& daemon) {
+      parts.push_back(daemon.http_link().address());
+      parts.push_back(daemon.rpc_link().address());
+    };
+    for (const auto& member : members_) {
+      parts.push_back(member->name());
+      parts.push_back(RestartOf(member->name()));
+      add_links(*member);
+    }
+    for (const auto& daemon : entries_) {
+      if (daemon->name() == entry) add_links(*daemon);
+    }
+    return std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
+      return disturbances_.Affected(part, from, to);
+    });
+  }
+
   [[nodiscard]] std::vector<Daemon*> Daemons() const {
     std::vector<Daemon*> daemons;
     daemons.reserve(members_.size() + entries_.size());
@@ -368,6 +420,9 @@
       if (!daemon->Check(now, log_)) disturbances_.Add(daemon->name(), now);
       if (daemon->lifetime() != lifetime) disturbances_.Add(RestartOf(daemon->name()), now);
     }
+    const auto running = std::count_if(members_.begin(), members_.end(),
+                                       [](const auto& member) { return member->running(); });
+    if (2 * static_cast<std::size_t>(running) <= options_.members) no_majority_at_ = now;
     for (Backend& backend : backends_) {
       if (backend.end_at && now >= *backend.end_at) {
         CrashBackend(backend, now);
@@ -460,21 +515,28 @@
         StopEntry(entry, now);
         break;
       case FaultKind::kKillMember:
+        disturbances_.Add(kCore, now);
         member.Kill(now);
         break;
       case FaultKind::kPauseMember:
         Pause(member, fault, now);
         break;
       case FaultKind::kStopMember:
+        disturbances_.Add(kCore, now);
         member.Stop(now);
         break;
       case FaultKind::kKillAllMembers:
-        for (const auto& each_member : members_) each_member->Kill(now);
+        disturbances_.Add(kCore, now);
+        for (const auto& each_member : members_) {
+          each_member->Kill(now, options_.replace_members ? fault.duration : kRestartDelay);
+        }
         break;
       case FaultKind::kWipeMember:
+        disturbances_.Add(kCore, now);
         member.Wipe(now);
         break;
       case FaultKind::kTearLog:
+        disturbances_.Add(kCore, now);
         member.TearLog(now, fault.target);
         break;
       case FaultKind::kReload:
@@ -537,9 +599,71 @@
         BeginCrashOnPart(fault, now);
         RunAt(now + fault.duration, [this] { EndCrashOnPart(); });
         break;
+      case FaultKind::kReplaceMember:
+        ReplaceMember(fault, now);
+        break;
+      case FaultKind::kLoseSpareMember:
+        LoseSpareMember(fault, now);
+        break;
+      case FaultKind::kDarkLeader: {
+        Daemon& leader = Leader();
+        leader.TakePower();
+        EndAfter(fault, now, kCore, [&leader] { leader.RestorePower(common::BootClock::now()); });
+        break;
+      }
     }
   }
 
+  /// An empty machine joins the group and is lost before it votes.
+  void LoseSpareMember(const PlannedFault& fault, common::Time now) {
+    disturbances_.Add(kCore, now);
+    lost_members_.push_back(StartEmptyMember());
+    Daemon* spare = lost_members_.back().get();
+    RunAt(now + fault.duration, [this, spare] {
+      disturbances_.Add(kCore, common::BootClock::now());
+      spare->TakePower();
+    });
+  }
+
+  /// \returns the member that has led in the highest term.
+  [[nodiscard]] Daemon& Leader() const {
+    return **std::max_element(members_.begin(), members_.end(),
+                              [](const auto& left, const auto& right) {
+                                return left->HighestLedTerm() < right->HighestLedTerm();
+                              });
+  }
+
+  /// The machine of a member is lost for good; an empty one joins at another address.
+  void ReplaceMember(const PlannedFault& fault, common::Time now) {
+    const std::size_t index = fault.target % members_.size();
+    disturbances_.Add(kCore, now);
+    members_[index]->TakePower();
+    lost_members_.push_back(std::move(members_[index]));
+    members_.erase(members_.begin() + static_cast<std::ptrdiff_t>(index));
+    UpdateMembers();
+    RunAt(now + fault.duration, [this] { AddMember(); });
+  }
+
+  void AddMember() {
+    disturbances_.Add(kCore, common::BootClock::now());
+    members_.push_back(StartEmptyMember());
+    UpdateMembers();
+  }
+
+  [[nodiscard]] std::unique_ptr<Daemon> StartEmptyMember() {
+    auto member = std::make_unique<Daemon>(loop_, fleet_, Daemon::Role::kMember, next_member_++);
+    std::vector<std::string> seeds;
+    for (const auto& running : members_) seeds.push_back(running->http_link().address());
+    member->SetSeeds(std::move(seeds));
+    member->Start(/*bootstrap=*/false);
+    return member;
+  }
+
+  void UpdateMembers() {
+    for (const auto& writer : writers_) writer->SetMembers(ListenersOf(members_));
+    probe_->SetMembers(ListenersOf(members_));
+  }
+
   static bool MayState(const Backend& backend) {
     return !backend.draining && !backend.start_at && !backend.end_at &&
            !backend.server->states_something();
@@ -603,6 +727,28 @@
                     std::to_string(first.status));
   }
 
+  /// Checks that the tables of all members hold the same configuration.
+  void CompareTables() {
+    std::map<std::string, std::string> first;
+    std::string first_name;
+    for (const auto& member : members_) {
+      std::map<std::string, std::string> rows;
+      try {
+        rows = ReadConfigurationRows(member->rpc_address());
+      } catch (const rpc::RpcError& error) {
+        log_.Report(common::BootClock::now(), "tables", member->name() + ": " + error.what());
+        continue;
+      }
+      if (first_name.empty()) {
+        first = std::move(rows);
+        first_name = member->name();
+      } else if (rows != first) {
+        log_.Report(common::BootClock::now(), "tables",
+                    member->name() + " and " + first_name + " hold different rows");
+      }
+    }
+  }
+
   /// Checks that every member returns the newest configuration and every entry serves by it.
   void ReadBack() {
     std::uint64_t newest = 0;
@@ -658,9 +804,11 @@
             << counts_.unanswered << ", left " << counts_.disconnected << "; runs "
             << requests_.runs() << "\ncalm: " << calm_calls_ << " calls, " << calm_failures_.size()
             << " not served\nconfigurations: " << configurations_.acknowledgements()
-            << " acknowledged, " << configurations_.reads() << " reads; usage windows "
-            << usage_.reports().size() << "; members replaced " << unexpected_exits_
-            << "\nplanned stops of entries: " << answers_.stops()
+            << " acknowledged, " << configurations_.reads() << " reads, "
+            << configurations_.kept_calls() << " calls for due versions, refused after at most "
+            << common::ToSeconds(configurations_.max_refused_contact())
+            << " s in touch; usage windows " << usage_.reports().size() << "; members replaced "
+            << unexpected_exits_ << "\nplanned stops of entries: " << answers_.stops()
             << ", answers cut: " << answers_.cut_before_stop() << " sent before SIGTERM, "
             << answers_.cut_after_stop() << " after it; calls on kept connections after SIGTERM "
             << answers_.calls_on_kept_connections()
@@ -687,9 +835,12 @@
   http::EventLoop loop_{1};
   ViolationLog log_;
   RequestChecker requests_{log_};
-  ConfigurationChecker configurations_{log_, {}};
-  UsageChecker usage_{log_};
   DisturbanceLog disturbances_;
+  ConfigurationChecker configurations_{
+      log_, {}, [this](const std::string& entry, common::Time from, common::Time to) {
+        return InTouch(entry, from, to);
+      }};
+  UsageChecker usage_{log_};
   AnswerChecker answers_{log_, disturbances_, {}};
   StatementChecker statements_{log_, disturbances_, {}};
   CrashingPartChecker crashing_part_{log_, {}};
@@ -697,7 +848,13 @@
   std::vector<Backend> backends_;
   std::unique_ptr<FakePlatform> platform_;
   std::unique_ptr<Link> platform_link_;
+  FleetOptions fleet_;
   std::vector<std::unique_ptr<Daemon>> members_;
+  /// Members whose machines are lost for good; their links stay, without an answer.
+  std::vector<std::unique_ptr<Daemon>> lost_members_;
+  std::size_t next_member_ = 0;
+  /// Last time at which no majority of the members ran.
+  common::Time no_majority_at_;
   std::vector<std::unique_ptr<Daemon>> entries_;
   std::vector<Link*> links_;
   std::vector<std::shared_ptr<ConfigurationWriter>> writers_;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -21,6 +21,8 @@
   std::chrono::milliseconds mean_interval{500};
   /// See FaultPlanOptions::crash_on_part.
   bool crash_on_part = false;
+  /// See FaultPlanOptions::replace_members.
+  bool replace_members = false;
   std::string programs;
   std::string templates;
   /// Folder for settings, data and output; its previous contents are deleted.
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -19,6 +19,10 @@
   return MakeFaultPlan({.seed = seed, .duration = kDuration, .crash_on_part = true});
 }
 
+std::vector<PlannedFault> PlanWithReplacements(std::uint64_t seed) {
+  return MakeFaultPlan({.seed = seed, .duration = kDuration, .replace_members = true});
+}
+
 TEST(FaultPlanTest, SameSeedGivesSamePlan) {
   const auto first = Plan(4);
   const auto second = Plan(4);
@@ -36,7 +40,11 @@
     for (const PlannedFault& fault : Plan(seed)) kinds.insert(fault.kind);
   }
   EXPECT_EQ(kinds.count(FaultKind::kCrashOnPart), 0U);
+  EXPECT_EQ(kinds.count(FaultKind::kReplaceMember), 0U);
+  EXPECT_EQ(kinds.count(FaultKind::kDarkLeader), 0U);
+  EXPECT_EQ(kinds.count(FaultKind::kLoseSpareMember), 0U);
   for (const PlannedFault& fault : PlanWithCrashOnPart(1)) kinds.insert(fault.kind);
+  for (const PlannedFault& fault : PlanWithReplacements(1)) kinds.insert(fault.kind);
   EXPECT_EQ(kinds.size(), kFaultKinds);
 }
 
@@ -63,6 +71,28 @@
   }
 }
 
+// Without all first members gone, no entry would have seeds that do not answer; without time to
+// recover, the check of the configuration would excuse every refusal.
+TEST(FaultPlanTest, ReplacesAllMembersAndLeavesTimeToRecover) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto plan = PlanWithReplacements(seed);
+    ASSERT_GT(plan.size(), 4U);
+    for (std::size_t i = 0; i < 3; ++i) {
+      EXPECT_EQ(plan[i].kind, FaultKind::kReplaceMember);
+      EXPECT_EQ(plan[i].target, 0U);
+    }
+    EXPECT_EQ(plan[3].kind, FaultKind::kLoseSpareMember);
+    for (std::size_t i = 4; i + 1 < plan.size(); ++i) {
+      if (plan[i].kind == FaultKind::kReplaceMember) {
+        EXPECT_EQ(plan[i + 1].kind, FaultKind::kKillAllMembers);
+        EXPECT_GE(plan[i].duration, seconds(8));
+      } else {
+        EXPECT_GE(plan[i + 1].at - plan[i].at, seconds(8));
+      }
+    }
+  }
+}
+
 // A group of three members tolerates the loss of one data folder at a time.
 TEST(FaultPlanTest, KeepsOtherFaultsOfMembersAwayFromAWipe) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/soak/invariant_checkers_test.cc
+++ b/tests/soak/invariant_checkers_test.cc
@@ -180,6 +180,54 @@
   EXPECT_EQ(log_.count(), 0U);
 }
 
+class KeptCallTest : public ::testing::Test {
+ protected:
+  KeptCallTest() {
+    checker_.OnSent(3, "text 3");
+    checker_.OnSent(5, "text 5", {3});
+    checker_.OnResponse(3, 200, /*valid=*/true, At(seconds(1)));
+  }
+  void Call(std::uint16_t status, milliseconds sent_at) {
+    checker_.OnKeptCall("entry-1", 3, status, At(sent_at), At(sent_at + milliseconds(5)));
+  }
+
+  ViolationLog log_;
+  bool in_touch_ = true;
+  ConfigurationChecker checker_{
+      log_, {}, [this](const std::string&, common::Time, common::Time) { return in_touch_; }};
+};
+
+// Guards against a soak that passes over an entry that refuses what an acknowledged version allows.
+TEST_F(KeptCallTest, ReportsARefusalAfterTheBound) {
+  Call(404, milliseconds(3100));
+  Call(401, milliseconds(3200));
+  EXPECT_EQ(log_.count(), 2U);
+}
+
+TEST_F(KeptCallTest, AcceptsARefusalWithinTheBound) {
+  Call(404, milliseconds(2900));
+  EXPECT_EQ(log_.count(), 0U);
+}
+
+TEST_F(KeptCallTest, AcceptsARefusalByAnEntryThatIsNotInTouch) {
+  in_touch_ = false;
+  Call(404, milliseconds(3100));
+  EXPECT_EQ(log_.count(), 0U);
+  EXPECT_EQ(checker_.kept_calls(), 0U);
+}
+
+TEST_F(KeptCallTest, AcceptsARefusalOnceAVersionWithoutTheRouteWasSent) {
+  checker_.OnSent(8, "text 8", {5});
+  Call(404, milliseconds(3100));
+  EXPECT_EQ(log_.count(), 0U);
+}
+
+TEST_F(KeptCallTest, AcceptsARejectionThatPromisesNothingAboutTheRoute) {
+  Call(503, milliseconds(3100));
+  EXPECT_EQ(log_.count(), 0U);
+  EXPECT_EQ(checker_.kept_calls(), 1U);
+}
+
 class UsageCheckerTest : public ::testing::Test {
  protected:
   ViolationLog log_;
--- a/tests/soak/link_test.cc
+++ b/tests/soak/link_test.cc
@@ -121,6 +121,20 @@
   EXPECT_EQ(Exchange(Connect(), "c", kResponseTimeout), "c");
 }
 
+// Guards against a dark link that answers or closes connections, which a machine without power
+// cannot.
+TEST_F(LinkTest, DarkLinkKeepsConnectionsOpenAndSilent) {
+  const auto socket = Connect();
+  EXPECT_EQ(Exchange(socket, "a", kResponseTimeout), "a");
+  link_->SetDark(true);
+  EXPECT_EQ(Exchange(socket, "b", kSilencePeriod), "");
+  const auto later = Connect();
+  EXPECT_EQ(Exchange(later, "c", kSilencePeriod), "");
+  link_->SetDark(false);
+  EXPECT_EQ(Receive(later, 1, kResponseTimeout), std::nullopt);
+  EXPECT_EQ(Exchange(Connect(), "d", kResponseTimeout), "d");
+}
+
 TEST_F(LinkTest, ResetsOpenConnections) {
   const auto socket = Connect();
   EXPECT_EQ(Exchange(socket, "a", kResponseTimeout), "a");
