--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -191,8 +191,8 @@
 
   [[nodiscard]] distribution::SyncClientCallbacks MakeCallbacks() {
     return {.fill = [this](schema::SyncRequest& request) { FillSyncRequest(request); },
-            .on_response = [this](const schema::SyncResponse& response,
-                                  common::Time sent_at) { OnResponse(response, sent_at); },
+            .on_response = [this](const schema::SyncResponse& response, common::Time sent_at,
+                                  const std::string& /*parent*/) { OnResponse(response, sent_at); },
             .on_failure =
                 [this](const std::string& parent, const std::string& problem) {
                   log_.Warn("Sync with " + parent + " failed: " + problem + ".");
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -515,12 +515,13 @@
   }
 
   [[nodiscard]] distribution::SyncClientCallbacks MakeCallbacks() {
-    return {.fill = [this](schema::SyncRequest& request) { FillSyncRequest(request); },
-            .on_response = [this](const schema::SyncResponse& response,
-                                  common::Time sent_at) { OnResponse(response, sent_at); },
-            .on_failure = [this](const std::string& parent,
-                                 const std::string& problem) { OnSyncFailure(parent, problem); },
-            .on_round = [this](const distribution::SyncRound& round) { OnSyncRound(round); }};
+    return {
+        .fill = [this](schema::SyncRequest& request) { FillSyncRequest(request); },
+        .on_response = [this](const schema::SyncResponse& response, common::Time sent_at,
+                              const std::string& parent) { OnResponse(response, sent_at, parent); },
+        .on_failure = [this](const std::string& parent,
+                             const std::string& problem) { OnSyncFailure(parent, problem); },
+        .on_round = [this](const distribution::SyncRound& round) { OnSyncRound(round); }};
   }
 
   void FillSyncRequest(schema::SyncRequest& request) {
@@ -549,7 +550,8 @@
     request.set_backends_digest(list_digest_);
   }
 
-  void OnResponse(const schema::SyncResponse& response, common::Time sent_at) {
+  void OnResponse(const schema::SyncResponse& response, common::Time sent_at,
+                  const std::string& parent) {
     const common::Time now = common::BootClock::now();
     if (!has_table_) OnRows();
     // A member that is disconnected from its leader still responds, but the leader last confirmed
@@ -559,9 +561,9 @@
     if (fresh) {
       boost::asio::post(loop_, [this, now] { forwarder_.crash_guard().OnControlContact(now); });
     }
-    PostControlView();
+    PostControlView(parent);
     if (fresh && control_disconnected_.exchange(false)) {
-      log_.Info(LogLine("control_regained").Add("parent", sync_client_.parent()).text());
+      log_.Info(LogLine("control_regained").Add("parent", parent).text());
     }
     if (response.agreed_unix_ms() != 0) {
       const common::Time agreed_at = sent_at + (now - sent_at) / 2;
@@ -599,7 +601,7 @@
     UpdateParentsLocked();
   }
 
-  void PostControlView() {
+  void PostControlView(const std::string& parent) {
     std::string versions;
     for (const auto& [document, version] : replica_.document_versions()) {
       if (!versions.empty()) versions += ',';
@@ -607,7 +609,7 @@
     }
     boost::asio::post(loop_,
                       [this, view = impl::ControlView{.confirmed_at = replica_.freshness(),
-                                                      .parent = sync_client_.parent(),
+                                                      .parent = parent,
                                                       .versions = std::move(versions)}]() mutable {
                         forwarder_.SetControlView(std::move(view));
                       });
--- a/tests/distribution/sync_client_test.cc
+++ b/tests/distribution/sync_client_test.cc
@@ -79,7 +79,8 @@
                        request.mutable_node()->set_rpc_address(address_);
                      },
                  .on_response = [on_response = std::move(on_response)](
-                                    const schema::SyncResponse&, common::Time) { on_response(); },
+                                    const schema::SyncResponse&, common::Time,
+                                    const std::string&) { on_response(); },
                  .on_round =
                      [this](const SyncRound& round) {
                        const std::lock_guard lock(rounds_mutex_);
@@ -281,6 +282,22 @@
   EXPECT_LT(TimeUntilRow(child, "second"), kInForceBound);
 }
 
+// Guards against a parent whose confirmation is old enough that a table from it, a period later, is
+// older than a change may take.
+TEST(SyncClientTest, LeavesAParentBeforeItsTableExceedsTheBound) {
+  const SyncClientOptions defaults;
+  ASSERT_LT(defaults.max_confirmation_age + defaults.period + defaults.hedge_delay, kInForceBound);
+  Parent old(defaults.max_confirmation_age + milliseconds(100));
+  old.Put("first", 1);
+  Parent parent(milliseconds(0));
+  parent.Put("first", 1);
+  Child child(SyncClientOptions{.parents = {old.address(), parent.address()}});
+  child.DisableNotifications();
+  ASSERT_TRUE(child.StartAndWaitFor("first"));
+  parent.Put("second", 2);
+  EXPECT_LT(TimeUntilRow(child, "second"), kInForceBound);
+}
+
 // Guards against freshness that is computed from the time of arrival or from the parent's clock.
 TEST(ReplicaTest, FreshnessIsSendTimeMinusAgeAndNeverFalls) {
   Replica replica;
