Refuse for an unknown route or key only by a confirmed configuration

Callers saw: 404 and 401 by a table of any age, from an entry that could not know whether it still held.

Cause: admission asked only whether a table is known. The class of fault is an answer that something does not exist from a process that does not know that this still holds.

Change: a request that the table refuses waits until the control members have confirmed the table since its arrival, for half of its time and at most 2 s, then gets 503 with Retry-After. At most 512 requests wait. The entry asks for a confirmation at most every 250 ms for all of them. If the last one is older than 5 s the answer is 503 at once. The stand-alone entry does the same for unknown keys, models, classes and routes.

Ruled out: a bound on the age that allows a refusal, as every age above zero can contradict an acknowledgement; a confirmation on request at the member, which would let callers block its threads while there is no leader.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -19,6 +19,20 @@
 // Approximate size of a token of text, for estimates made before an engine has counted the tokens.
 constexpr std::uint64_t kBytesPerToken = 4;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
+/// Requests held until the configuration is confirmed, and the time for which one is held.
+constexpr std::size_t kMaxUnconfirmed = 512;
+constexpr std::chrono::milliseconds kMaxHoldPeriod{2000};
+/// Interval between requested confirmations, so that callers with unknown keys at most double the
+/// syncs of an entry.
+constexpr std::chrono::milliseconds kConfirmationInterval{250};
+
+/// \returns true if another configuration may allow the request.
+bool DependsOnConfiguration(requests::CallerErrorCode code) noexcept {
+  return code == requests::CallerErrorCode::kKeyUnknown ||
+         code == requests::CallerErrorCode::kClassNotAllowed ||
+         code == requests::CallerErrorCode::kModelNotFound ||
+         code == requests::CallerErrorCode::kRouteNotFound;
+}
 
 requests::CallerHttpRequest ToCallerRequest(const http::Request& request) {
   requests::CallerHttpRequest result{.method = request.method,
@@ -139,24 +153,24 @@
     Reject(exchange, MakeError(CallerErrorCode::kStopping, "this entry is stopping"), plan.id);
     return;
   }
-  HandleCaller(exchange, std::move(plan));
+  HandleCaller(exchange, plan);
 }
 
-void EntryCore::HandleCaller(const ExchangePtr& exchange, RequestPlan plan) {
+void EntryCore::HandleCaller(const ExchangePtr& exchange, const RequestPlan& plan) {
   const requests::CallerHttpRequest request = ToCallerRequest(exchange->request());
   const common::RequestId id = plan.id;
   const Checked<Caller> caller = Authenticate(request);
   if (!caller.ok()) {
-    Reject(exchange, caller.error(), id);
+    RejectOnceConfirmed(exchange, caller.error(), plan);
     return;
   }
   if (request.path == "/v1/models" && request.method == "GET") {
     ServeModels(exchange, id);
     return;
   }
-  Checked<RequestPlan> planned = MakePlan(request, caller.value(), std::move(plan));
+  Checked<RequestPlan> planned = MakePlan(request, caller.value(), plan);
   if (!planned.ok()) {
-    Reject(exchange, planned.error(), id);
+    RejectOnceConfirmed(exchange, planned.error(), plan);
     return;
   }
   if (const auto rejection = Admit(planned.value())) {
@@ -172,6 +186,69 @@
   }
 }
 
+void EntryCore::RejectOnceConfirmed(const ExchangePtr& exchange, const requests::CallerError& error,
+                                    const RequestPlan& plan) {
+  const std::optional<common::Time> confirmed_at = options_.replica->freshness();
+  const bool confirmed = confirmed_at && *confirmed_at >= plan.arrived;
+  // A request without a readable key is refused by every configuration.
+  if (confirmed || !DependsOnConfiguration(error.code) ||
+      !requests::ExtractKey(ToCallerRequest(exchange->request())).ok()) {
+    Reject(exchange, error, plan.id);
+    return;
+  }
+  if (!Hold(exchange, plan)) {
+    Reject(exchange,
+           MakeError(stopping_ ? CallerErrorCode::kStopping : CallerErrorCode::kKeysStale,
+                     "the configuration could not be confirmed"),
+           plan.id);
+  }
+}
+
+bool EntryCore::Hold(const ExchangePtr& exchange, const RequestPlan& plan) {
+  const common::Time now = common::BootClock::now();
+  bool request = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopping_ || unconfirmed_.size() >= kMaxUnconfirmed ||
+        now >= plan.arrived + kMaxHoldPeriod) {
+      return false;
+    }
+    unconfirmed_.push_back(
+        {.exchange = exchange, .plan = plan, .index = options_.replica->index()});
+    request = now - confirmation_requested_at_ >= kConfirmationInterval;
+    if (request) confirmation_requested_at_ = now;
+  }
+  if (request && options_.request_confirmation) options_.request_confirmation();
+  return true;
+}
+
+void EntryCore::ReviewUnconfirmed(common::Time now) {
+  const std::optional<common::Time> confirmed_at = options_.replica->freshness();
+  const common::LogIndex index = options_.replica->index();
+  std::vector<UnconfirmedRequest> due;
+  bool request = false;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto waits = [&](const UnconfirmedRequest& one) {
+      const bool confirmed = confirmed_at && *confirmed_at >= one.plan.arrived;
+      return !confirmed && index == one.index && !stopping_ &&
+             now < one.plan.arrived + kMaxHoldPeriod;
+    };
+    const auto first_due = std::stable_partition(unconfirmed_.begin(), unconfirmed_.end(), waits);
+    due.assign(std::move_iterator(first_due), std::move_iterator(unconfirmed_.end()));
+    unconfirmed_.erase(first_due, unconfirmed_.end());
+    request = !unconfirmed_.empty() && now - confirmation_requested_at_ >= kConfirmationInterval;
+    if (request) confirmation_requested_at_ = now;
+  }
+  if (request && options_.request_confirmation) options_.request_confirmation();
+  for (const UnconfirmedRequest& one : due) HandleCaller(one.exchange, one.plan);
+}
+
+std::size_t EntryCore::in_flight() const {
+  const std::lock_guard lock(mutex_);
+  return requests_.size() + unconfirmed_.size();
+}
+
 EntryCore::Checked<EntryCore::Caller> EntryCore::Authenticate(
     const requests::CallerHttpRequest& request) const {
   using CallerResult = Checked<Caller>;
@@ -417,6 +494,7 @@
 }
 
 void EntryCore::Tick(common::Time now) {
+  ReviewUnconfirmed(now);
   const bool stale = !KeysAreFresh(now);
   for (const LiveTable::RequestPtr& request : requests_.All()) {
     request->Tick(now);
--- a/src/entry/impl/entry_core.h
+++ b/src/entry/impl/entry_core.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -32,6 +33,9 @@
   std::shared_ptr<proposals::BackgroundProposer> proposer;
   std::shared_ptr<observability::Metrics> metrics;
   std::shared_ptr<proposals::UsageReporter> usage;
+  /// Optional: called when a request waits for a configuration that was confirmed since its
+  /// arrival.
+  std::function<void()> request_confirmation;
 };
 
 /// Caller API of the entry. Its handlers run on threads of the HTTP library and never block.
@@ -53,7 +57,7 @@
   void Stop() { tasks_.Stop(); }
 
   [[nodiscard]] bool Ready() const;
-  [[nodiscard]] std::size_t in_flight() const { return requests_.size(); }
+  [[nodiscard]] std::size_t in_flight() const;
   /// \returns the latest deadline of the requests in flight; the epoch if there are none.
   [[nodiscard]] common::Time LatestDeadline() const;
   /// \returns the RPC addresses of the agents that were used since the previous call.
@@ -72,13 +76,21 @@
     std::string key_sha256_hex;
   };
 
+  /// Request that the configuration refuses and that waits until it is confirmed.
+  struct UnconfirmedRequest {
+    ExchangePtr exchange;
+    RequestPlan plan;
+    /// Log index of the configuration that refused the request.
+    common::LogIndex index;
+  };
+
   explicit EntryCore(EntryCoreOptions options) : options_(std::move(options)) {}
   void MakeServices();
 
   [[nodiscard]] std::shared_ptr<const Directory> directory() const;
   [[nodiscard]] bool KeysAreFresh(common::Time now) const;
   [[nodiscard]] Checked<Caller> Authenticate(const requests::CallerHttpRequest& request) const;
-  void HandleCaller(const ExchangePtr& exchange, RequestPlan plan);
+  void HandleCaller(const ExchangePtr& exchange, const RequestPlan& plan);
   [[nodiscard]] Checked<RequestPlan> MakePlan(const requests::CallerHttpRequest& request,
                                               const Caller& caller, RequestPlan plan) const;
   [[nodiscard]] Checked<RequestPlan> PlanCompletion(requests::CompletionKind kind,
@@ -93,6 +105,17 @@
                                                               RequestPlan& plan) const;
   [[nodiscard]] std::optional<requests::CallerError> CheckSuspect(RequestPlan& plan) const;
   [[nodiscard]] std::optional<requests::CallerError> Admit(const RequestPlan& plan);
+  /// Rejects a request that the configuration does not allow, if the control members have confirmed
+  /// the configuration since the arrival of the request. Until then the request is held.
+  /// \param plan  id, sequence and arrival of the request
+  void RejectOnceConfirmed(const ExchangePtr& exchange, const requests::CallerError& error,
+                           const RequestPlan& plan);
+  /// Holds a request until the configuration is confirmed.
+  /// \returns false if it cannot be held any longer, or too many are.
+  [[nodiscard]] bool Hold(const ExchangePtr& exchange, const RequestPlan& plan);
+  /// Handles the held requests again whose configuration was confirmed or has changed, or whose
+  /// time has run out.
+  void ReviewUnconfirmed(common::Time now);
   void ServeModels(const ExchangePtr& exchange, const common::RequestId& id) const;
   void Reject(const ExchangePtr& exchange, const requests::CallerError& error,
               const common::RequestId& id) const;
@@ -113,6 +136,8 @@
   std::atomic<std::uint64_t> next_billing_sequence_ = 1;
   mutable std::mutex mutex_;
   std::set<std::string> used_agents_;
+  std::vector<UnconfirmedRequest> unconfirmed_;
+  common::Time confirmation_requested_at_;
   std::shared_ptr<const Directory> directory_ = std::make_shared<Directory>();
   TaskQueue tasks_;
 };
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -54,12 +54,13 @@
 
 /// A server that crashes when it begins to write an answer may still send the first event.
 constexpr std::uint64_t kSoundEvents = 2;
-/// Refusals by a configuration that was confirmed longer ago are counted.
-constexpr milliseconds kMaxRefusalAge{1000};
+/// A configuration that was confirmed longer ago is rarely confirmed within the time of a hold.
+constexpr std::chrono::seconds kMaxAgeToHold{5};
 constexpr std::string_view kAnsweredOutcome = "answered";
 constexpr std::string_view kDrainedReason = "failure_domains_draining";
 /// Operators end a drain by hand, so an earlier retry is rarely served.
 constexpr milliseconds kRetryAfterDelayWhileDrained{2000};
+constexpr std::string_view kUnconfirmedReason = "configuration_unconfirmed";
 constexpr std::string_view kHeldReason = "crash_property_held";
 /// Length of the properties in one log line; callers choose the ids of prompt parts.
 constexpr std::size_t kMaxLoggedPropertyBytes = 240;
@@ -168,8 +169,7 @@
   const std::string* host = request_->head().headers.Find("Host");
   route_ = table_->Match(host == nullptr ? std::string_view() : *host, request_->head().path());
   if (route_ == nullptr) {
-    CountOldRefusal();
-    Reject(kNotFound, "no_route");
+    RejectOnceConfirmed(kNotFound, "no_route");
     return false;
   }
   tier_ = common::Tier(route_->tier());
@@ -178,8 +178,7 @@
     customer_ = key_owner->customer;
     tier_ = key_owner->tier.value_or(tier_);
   } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_REQUIRED) {
-    CountOldRefusal();
-    Reject(kUnauthorized, facts_.key.empty() ? "no_key" : "unknown_key");
+    RejectOnceConfirmed(kUnauthorized, facts_.key.empty() ? "no_key" : "unknown_key");
     return false;
   } else if (!route_->open() && table_->key_check() == schema::KEY_CHECK_UNSPECIFIED) {
     Reject(kUnavailable, "key_check_unknown", kRetryAfterDelayWithoutConfiguration);
@@ -238,19 +237,50 @@
   }
 }
 
-void Exchange::Hold() {
+common::Time Exchange::HoldLimit() const {
   const auto wait =
       facts_.time_left ? std::chrono::duration_cast<milliseconds>(*facts_.time_left * kMaxHoldShare)
                        : kMaxHoldPeriod;
-  if (!owner_.MayHold() || wait <= milliseconds(0)) {
+  return request_->arrived_at() + std::min(wait, kMaxHoldPeriod);
+}
+
+void Exchange::Hold() {
+  hold_until_ = HoldLimit();
+  if (!owner_.MayHold() || hold_until_ <= request_->arrived_at()) {
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
   state_ = State::kHeld;
-  hold_until_ = request_->arrived_at() + std::min(wait, kMaxHoldPeriod);
   owner_.held_.insert(number_);
 }
 
+void Exchange::RejectOnceConfirmed(std::uint16_t status, std::string_view reason) {
+  if (owner_.ConfigurationIsFrom(request_->arrived_at())) {
+    Reject(status, reason);
+    return;
+  }
+  if (state_ == State::kUnconfirmed) return;
+  const common::Time now = common::BootClock::now();
+  hold_until_ = HoldLimit();
+  if (!owner_.MayHold() || now >= hold_until_ || !owner_.ConfigurationIsFrom(now - kMaxAgeToHold)) {
+    Reject(kUnavailable, kUnconfirmedReason, kRetryAfterDelayWithoutConfiguration);
+    return;
+  }
+  state_ = State::kUnconfirmed;
+  owner_.unconfirmed_.insert(number_);
+  owner_.RequestConfirmation(now);
+}
+
+void Exchange::OnConfirmation() {
+  if (state_ != State::kUnconfirmed) return;
+  route_ = nullptr;  // belongs to the previous table
+  table_ = owner_.table_;
+  if (!Admit()) return;
+  state_ = State::kQueued;
+  owner_.unconfirmed_.erase(number_);
+  Proceed();
+}
+
 void Exchange::OnConfiguration() {
   if (state_ != State::kHeld) return;
   state_ = State::kQueued;
@@ -804,6 +834,10 @@
     Reject(kUnavailable, "no_configuration", kRetryAfterDelayWithoutConfiguration);
     return;
   }
+  if (state_ == State::kUnconfirmed && now >= hold_until_) {
+    Reject(kUnavailable, kUnconfirmedReason, kRetryAfterDelayWithoutConfiguration);
+    return;
+  }
   if (state_ == State::kLookUp && now >= look_up_until_) {
     Reject(kUnavailable, "stream_lookup_timeout", RetryDelay());
     return;
@@ -918,12 +952,6 @@
   owner_.log_.Info(line.text());
 }
 
-void Exchange::CountOldRefusal() const {
-  const std::optional<common::Time>& confirmed_at = owner_.control_view_.confirmed_at;
-  if (confirmed_at && request_->arrived_at() - *confirmed_at <= kMaxRefusalAge) return;
-  owner_.metrics_.CountEvent("refused_by_old_configuration");
-}
-
 void Exchange::AddConfiguration(LogLine& line, common::Time now) const {
   // "config_age_ms" is the time since the control members confirmed the configuration, or -1.
   const ControlView& control = owner_.control_view_;
@@ -955,6 +983,7 @@
                       [&owner = owner_, service = service_] { owner.DispatchQueued(service); });
   }
   owner_.held_.erase(number_);
+  owner_.unconfirmed_.erase(number_);
   owner_.stream_versions_.Withdraw(number_);
   owner_.exchanges_.erase(number_);
 }
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -22,7 +22,11 @@
 /// entries that do not know of each other yet from reaching the limit.
 constexpr double kConnectionShare = 0.8;
 constexpr std::uint32_t kMinConnections = 4;
-/// Requests held until the first configuration is active; with bodies of 20 KB they take 10 MB.
+/// Interval between requested confirmations, so that callers of unknown routes at most double the
+/// syncs of an entry.
+constexpr std::chrono::milliseconds kConfirmationInterval{250};
+/// Requests held until a configuration is active or confirmed; with bodies of 20 KB they take 10
+/// MB.
 constexpr std::size_t kMaxHeldRequests = 512;
 /// Bounds of Retry-After for callers that were rejected for want of a server.
 constexpr std::chrono::milliseconds kMinRetryDelay{300};
@@ -110,6 +114,7 @@
     const std::shared_ptr<Exchange> exchange = found->second;
     exchange->OnConfiguration();
   }
+  ReviewUnconfirmed();
 }
 
 void Forwarder::SetControlView(ControlView view) {
@@ -121,9 +126,28 @@
                   .text());
   }
   control_view_ = std::move(view);
+  ReviewUnconfirmed();
 }
 
-bool Forwarder::MayHold() const noexcept { return held_.size() < kMaxHeldRequests; }
+void Forwarder::RequestConfirmation(common::Time now) {
+  const auto interval = std::max(kConfirmationInterval, std::chrono::milliseconds(entries_));
+  if (now - confirmation_requested_at_ < interval) return;
+  confirmation_requested_at_ = now;
+  if (options_.request_confirmation) options_.request_confirmation();
+}
+
+void Forwarder::ReviewUnconfirmed() {
+  for (const std::uint64_t number : std::set<std::uint64_t>(unconfirmed_)) {
+    const auto found = exchanges_.find(number);
+    if (found == exchanges_.end()) continue;
+    const std::shared_ptr<Exchange> exchange = found->second;
+    exchange->OnConfirmation();
+  }
+}
+
+bool Forwarder::MayHold() const noexcept {
+  return held_.size() + unconfirmed_.size() < kMaxHeldRequests;
+}
 
 void Forwarder::SetBackends(const schema::BackendList& list, common::Time read_at) {
   if (list_read_at_ && read_at <= *list_read_at_) return;
@@ -524,6 +548,7 @@
 
 void Forwarder::Tick(common::Time now) {
   CheckLoad(now);
+  if (!unconfirmed_.empty()) RequestConfirmation(now);
   for (const auto& exchange : OpenExchanges()) exchange->CheckTimeouts(now);
   for (auto& [service, state] : services_) {
     for (const routing::EngineSide side : {routing::EngineSide::kAny, routing::EngineSide::kStreams,
--- a/src/forwarding/forwarding_node.cc
+++ b/src/forwarding/forwarding_node.cc
@@ -129,7 +129,8 @@
              .on_run_started =
                  [this](const common::CustomerId& customer) {
                    usage_counter_.Count(customer, common::BootClock::now());
-                 }},
+                 },
+             .request_confirmation = [this] { sync_client_.SyncNow(); }},
             metrics_) {}
 
   ~Impl() {
--- a/src/forwarding/impl/exchange.h
+++ b/src/forwarding/impl/exchange.h
@@ -34,6 +34,8 @@
   void OnDrained();
   /// Called when the first configuration with forwarding is active.
   void OnConfiguration();
+  /// Called when the configuration has changed or was confirmed.
+  void OnConfirmation();
   /// Called when the control members have answered where the stream began that the request resumes.
   void OnStreamLookup(const routing::StreamLookupAnswer& answer);
   /// Ends a hold, a stalled attempt or the request itself when its time has run out.
@@ -46,6 +48,8 @@
   enum class State : std::uint8_t {
     /// Until the first configuration with forwarding is active.
     kHeld,
+    /// Until the configuration, which refuses the request, is confirmed or allows it.
+    kUnconfirmed,
     /// Until the control members answer where the resumed stream began.
     kLookUp,
     /// Until the list of backend servers has been read after the arrival of the request.
@@ -62,6 +66,11 @@
   void Hold();
   /// \returns true if the request may be queued; otherwise it is held or has been rejected.
   bool Admit();
+  /// Rejects a request that the configuration does not allow, if the control members have confirmed
+  /// the configuration since the arrival of the request. Until then the request is held.
+  void RejectOnceConfirmed(std::uint16_t status, std::string_view reason);
+  /// \returns the time until which the request may be held.
+  [[nodiscard]] common::Time HoldLimit() const;
   /// Queues the request, after finding out where the stream began that it resumes.
   void Proceed();
   void Queue();
@@ -235,8 +244,6 @@
   /// \param body  explanation for the caller
   void Fail(std::uint16_t status, std::string_view reason, const std::string& body = {});
   void End(std::string_view outcome, std::uint16_t status, std::string_view reason);
-  /// Counts a refusal by a configuration that was not confirmed recently.
-  void CountOldRefusal() const;
   /// Adds what the request was judged by, and the host and path of a request without a route.
   void AddConfiguration(observability::LogLine& line, common::Time now) const;
   void LogEnd(std::string_view outcome, std::uint16_t status, std::string_view reason) const;
--- a/src/forwarding/impl/forwarder.h
+++ b/src/forwarding/impl/forwarder.h
@@ -50,6 +50,8 @@
   std::uint64_t seed = 1;
   /// Called when a backend server has begun to run a request.
   std::function<void(const common::CustomerId& customer)> on_run_started;
+  /// Called when a request waits for a configuration that was confirmed since its arrival.
+  std::function<void()> request_confirmation;
 };
 
 /// What the entry knows of the state of the control members.
@@ -122,8 +124,16 @@
  private:
   friend class Exchange;
 
-  /// True if one more request may be held until the first configuration is active.
+  /// True if one more request may be held until a configuration is active or confirmed.
   [[nodiscard]] bool MayHold() const noexcept;
+  /// True if the table holds everything that was committed up to this time.
+  [[nodiscard]] bool ConfigurationIsFrom(common::Time time) const noexcept {
+    return control_view_.confirmed_at && *control_view_.confirmed_at >= time;
+  }
+  /// Requests a confirmation for the requests that wait for one, unless one was requested recently.
+  void RequestConfirmation(common::Time now);
+  /// Lets the requests that wait for a confirmation look again at the configuration.
+  void ReviewUnconfirmed();
   /// True if the list of backend servers was read from the platform at this time or later.
   [[nodiscard]] bool ListIsFrom(common::Time time) const noexcept {
     return list_read_at_ && *list_read_at_ >= time;
@@ -241,6 +251,9 @@
   std::shared_ptr<std::size_t> buffered_body_bytes_ = std::make_shared<std::size_t>(0);
   /// Numbers of the requests that are held until the first configuration is active.
   std::set<std::uint64_t> held_;
+  /// Numbers of the requests that the table refuses and that wait until it is confirmed.
+  std::set<std::uint64_t> unconfirmed_;
+  common::Time confirmation_requested_at_;
 };
 
 }  // namespace briarwood::forwarding::impl
--- a/tests/entry/invariants_test.cc
+++ b/tests/entry/invariants_test.cc
@@ -135,5 +135,25 @@
   EXPECT_NE(rejected.find("\"run\":\"not_run\""), std::string::npos) << rejected;
 }
 
+// Guards against an entry that answers 404 by a configuration that is older than the one that the
+// control members hold.
+TEST(EntryInvariantsTest, RefusesOnlyByAConfirmedConfiguration) {
+  TestFleet fleet;
+  ScriptedBackend engine({});
+  EntryNode& entry = fleet.AddEntry();
+  fleet.AddEngine("engine-1", engine);
+  fleet.Configure();
+  const std::string request =
+      MakePost("/v1/completions", R"({"model":"unknown","prompt":"x","class":"quick"})");
+  fleet.control().SetReachable(false);
+  RawCall call(entry.port(), request);
+  const std::string rejected = call.Finish();
+  EXPECT_NE(rejected.find("HTTP/1.1 503"), std::string::npos) << rejected;
+  EXPECT_NE(rejected.find("\"run\":\"not_run\""), std::string::npos) << rejected;
+  fleet.control().SetReachable(true);
+  const std::string refused = Exchange(entry, request);
+  EXPECT_NE(refused.find("HTTP/1.1 404"), std::string::npos) << refused;
+}
+
 }  // namespace
 }  // namespace briarwood::entry
