--- a/soak/invariant_checkers.cc
+++ b/soak/invariant_checkers.cc
@@ -211,6 +211,13 @@
 
 void ConfigurationChecker::OnServed(const std::string& entry, std::uint64_t lifetime,
                                     std::uint64_t version, common::Time sent_at, common::Time now) {
+  const std::optional<std::uint64_t> due = DueVersion(sent_at);
+  if (due && version < *due &&
+      (!in_touch_ || in_touch_(entry, sent_at - bounds_.contact_period, now))) {
+    log_.Report(now, "late",
+                entry + " served by version " + std::to_string(version) +
+                    ", later than the bound of " + std::to_string(*due));
+  }
   Served& served = served_[{entry, lifetime}];
   if (version > served.version) {
     served = {.version = version, .at = now};
--- a/soak/operators.cc
+++ b/soak/operators.cc
@@ -126,7 +126,7 @@
   if (newest == 0) return;
   if (seen_versions_.empty() || seen_versions_.back() != newest) seen_versions_.push_back(newest);
   // Mostly probes the newest version, otherwise an older one, which must not be in force again.
-  constexpr std::size_t kRecentVersions = 4;
+  constexpr std::size_t kRecentVersions = 12;
   const std::size_t back =
       random_.Chance(0.5) ? 0 : random_.Below(std::min(kRecentVersions, seen_versions_.size()));
   ProbeEntry(entries_[random_.Below(entries_.size())],
--- a/tests/soak/invariant_checkers_test.cc
+++ b/tests/soak/invariant_checkers_test.cc
@@ -228,6 +228,19 @@
   EXPECT_EQ(checker_.kept_calls(), 1U);
 }
 
+// Guards against a soak that passes over an entry that still serves a route that was dropped.
+TEST_F(KeptCallTest, ReportsADroppedRouteThatIsServedAfterTheBound) {
+  checker_.OnResponse(5, 200, /*valid=*/true, At(seconds(4)));
+  checker_.OnServed("entry-1", 1, 3, At(milliseconds(5900)), At(milliseconds(5910)));
+  EXPECT_EQ(log_.count(), 0U);
+  in_touch_ = false;
+  checker_.OnServed("entry-1", 1, 3, At(milliseconds(6100)), At(milliseconds(6110)));
+  EXPECT_EQ(log_.count(), 0U);
+  in_touch_ = true;
+  checker_.OnServed("entry-1", 1, 3, At(milliseconds(6100)), At(milliseconds(6110)));
+  EXPECT_EQ(log_.count(), 1U);
+}
+
 class UsageCheckerTest : public ::testing::Test {
  protected:
   ViolationLog log_;
