Review case 7: the smaller side of a split core acknowledges a change

With two successors added, five machines are the core and three of them vote. Two voters that are cut from the other three machines acknowledge a configuration that drops a key. Machines 2, 3 and 4 are in touch and run all requests with it until the cut ends. Ruled out: a change sent before the larger side was stable (it is sent 4 s after the cut), and a late check (requests are sent more than configMs after the acknowledgement). Nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/6/*.cc; do
+for source in review/[678]/*.cc; do
   g++ -std=c++20 -O2 -pthread -o "target/review/$(basename "$source" .cc)" "$source" \
-    review/fleet.cc review/rig.cc
+    review/fleet.cc review/links.cc review/rig.cc
 done
--- a/review/fleet.cc
+++ b/review/fleet.cc
@@ -1,9 +1,12 @@
 #include "fleet.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <spawn.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -29,11 +32,15 @@
 constexpr int kReadyPort = 1;
 constexpr int kControlPort = 2;
 constexpr int kPlatformPort = 3;
-constexpr int kFirstRangePort = 4;
-constexpr int kPorts = 6;
+constexpr int kEnginePort = 4;
+constexpr int kFirstRangePort = 5;
+constexpr int kPorts = 7;
 // Last octets of the loopback addresses.
 constexpr std::size_t kFirstHost = 10;
+/// Where members listen whose address is that of a link.
+constexpr std::size_t kFirstHostBehindLink = 60;
 constexpr std::size_t kPlatformHost = 100;
+constexpr unsigned kFirstEngineHost = 110;
 
 std::string ReadFile(const std::string& name) {
   const std::ifstream file(name);
@@ -50,6 +57,12 @@
   }
 }
 
+std::int64_t UnixMillis() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 bool IsFree(const std::string& ip, int port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -64,7 +77,49 @@
 
 }  // namespace
 
-Fleet::Fleet(Record& record, std::size_t machines) : record_(record), machines_(machines) {
+Child::Child(const std::string& program, const std::string& settings, const std::string& log) {
+  std::string path = program;
+  std::string variable = "BRIARWOOD_NODE_FILE=" + settings;
+  std::vector<std::string> kept;
+  for (const char* name : {"PATH", "HOME", "LANG"}) {
+    if (const char* value = std::getenv(name)) kept.push_back(std::string(name) + "=" + value);
+  }
+  std::vector<char*> environment{variable.data()};
+  for (std::string& item : kept) environment.push_back(item.data());
+  environment.push_back(nullptr);
+  char* arguments[] = {path.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr mode_t kLogMode = 0644;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int error =
+      posix_spawn(&id_, path.c_str(), &actions, nullptr, arguments, environment.data());
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) throw RigError("cannot start " + program);
+}
+
+void Child::Signal(int signal) const {
+  if (id_ != 0) kill(id_, signal);
+}
+
+void Child::Kill() {
+  if (!Running()) return;
+  kill(id_, SIGKILL);
+  waitpid(id_, nullptr, 0);
+  id_ = 0;
+}
+
+bool Child::Running() {
+  if (id_ == 0) return false;
+  if (waitpid(id_, nullptr, WNOHANG) == 0) return true;
+  id_ = 0;
+  return false;
+}
+
+Fleet::Fleet(Record& record, std::size_t machines, Paths paths)
+    : record_(record), paths_(paths), machines_(machines) {
   std::string folder = fs::temp_directory_path().string() + "/briarwood-review-XXXXXX";
   if (mkdtemp(folder.data()) == nullptr) throw RigError("cannot create a temporary folder");
   folder_ = folder;
@@ -84,6 +139,13 @@
     platform_ = std::make_unique<Listener>(network_ + std::to_string(kPlatformHost) + ":" +
                                                std::to_string(first_port_ + kPlatformPort),
                                            [this](Channel& channel) { ServePlatform(channel); });
+    if (paths_ == Paths::kDirect) return;
+    const std::string port = ":" + std::to_string(first_port_ + kFirstRangePort);
+    for (std::size_t machine = 0; machine < machines; ++machine) {
+      links_.push_back(std::make_unique<Link>(
+          Ip(machine) + port, network_ + std::to_string(kFirstHostBehindLink + machine) + port,
+          [this, machine](std::uint16_t peer_port) { return Crosses(peer_port, machine); }));
+    }
     return;
   }
   throw RigError("found no free ports");
@@ -94,6 +156,7 @@
     if (machine.entry) machine.entry->Kill();
     if (machine.member) machine.member->Kill();
   }
+  links_.clear();
   platform_.reset();
   if (std::getenv("KEEP") != nullptr) {
     std::cerr << "logs: " << folder_ << "\n";
@@ -144,6 +207,13 @@
       {"bounds.retryBurst", "62"},
       {"limits.maxFds", "4100"}};
   for (const auto& [name, value] : values) ReplaceAll(text, "{{" + name + "}}", value);
+  if (paths_ == Paths::kThroughLinks && file.find("control") != std::string::npos) {
+    const std::string advertised = Address(machine, kFirstRangePort);
+    std::string listens = network_ + std::to_string(kFirstHostBehindLink + machine);
+    listens += ":" + std::to_string(first_port_ + kFirstRangePort);
+    ReplaceAll(text, "rpc_listen = \"" + advertised + "\"",
+               "rpc_listen = \"" + listens + "\"\nrpc_advertise = \"" + advertised + "\"");
+  }
   return text;
 }
 
@@ -154,12 +224,13 @@
     std::string file = folder_;
     file.append("/").append(role).append("-").append(number);
     std::ofstream(file + ".toml") << Settings("platform/" + role + ".toml", machine, bootstrap);
-    auto process = std::make_unique<Process>("target/briarwood-platform-" + role, file + ".toml",
-                                             file + ".log");
-    process->Start();
-    return process;
+    return std::make_unique<Child>("target/briarwood-platform-" + role, file + ".toml",
+                                   file + ".log");
   };
-  machines_[machine] = {.member = make("control"), .entry = make("entry")};
+  auto member = make("control");
+  auto entry = make("entry");
+  const std::lock_guard lock(mutex_);
+  machines_[machine] = {.member = std::move(member), .entry = std::move(entry)};
 }
 
 void Fleet::StartFirst() {
@@ -216,11 +287,92 @@
   return reply.status;
 }
 
-void Fleet::ServePlatform(Channel& channel) const {
+std::string Fleet::AddEngine(const std::string& id, const std::string& service, unsigned slots) {
+  const std::lock_guard lock(mutex_);
+  const std::size_t number = engines_.size();
+  Engine& engine = engines_.emplace_back();
+  engine.id = id;
+  engine.service = service;
+  engine.address = network_ + std::to_string(kFirstEngineHost + number) + ":" +
+                   std::to_string(first_port_ + kEnginePort);
+  engine.zone = "zone-" + std::to_string(number % kFirstMachines);
+  engine.slots = slots;
+  engine.born_ms = UnixMillis();
+  return engine.address;
+}
+
+void Fleet::ListRestart(const std::string& id, const std::string& version) {
+  const std::lock_guard lock(mutex_);
+  for (Engine& engine : engines_) {
+    if (engine.id != id) continue;
+    engine.version = version;
+    engine.born_ms = UnixMillis();
+  }
+}
+
+std::string Fleet::ListEngines() {
+  const std::lock_guard lock(mutex_);
+  std::ostringstream list;
+  list << R"({"instances":[)";
+  for (const Engine& engine : engines_) {
+    list << (&engine == engines_.data() ? "" : ",") << R"({"service":")" << engine.service
+         << R"(","addr":")" << engine.address << R"(","zone":")" << engine.zone
+         << R"(","version":")" << engine.version << R"(","slots":)" << engine.slots
+         << R"(,"state":"ready","coldLeftMs":0,"id":")" << engine.id << R"(","born":)"
+         << engine.born_ms << "}";
+  }
+  list << R"(],"next":null})";
+  return list.str();
+}
+
+bool Fleet::Crosses(std::uint16_t peer_port, std::size_t machine) {
+  const std::lock_guard lock(mutex_);
+  if (cut_off_.empty()) return false;
+  for (std::size_t from = 0; from < machines_.size(); ++from) {
+    for (const Child* process : {machines_[from].member.get(), machines_[from].entry.get()}) {
+      if (process == nullptr || !OwnsLocalPort(process->id(), peer_port)) continue;
+      return cut_off_.contains(from) != cut_off_.contains(machine);
+    }
+  }
+  return false;
+}
+
+void Fleet::Cut(const std::set<std::size_t>& side) {
+  {
+    const std::lock_guard lock(mutex_);
+    cut_off_ = side;
+  }
+  for (const auto& link : links_) link->Update();
+  record_.Line("the cut begins");
+}
+
+void Fleet::Heal() {
+  {
+    const std::lock_guard lock(mutex_);
+    cut_off_.clear();
+  }
+  for (const auto& link : links_) link->Update();
+  record_.Line("the cut ends");
+}
+
+std::string Fleet::Front(std::size_t machine) const { return Address(machine, kFrontPort); }
+
+void Fleet::AwaitReady(std::size_t machine) const {
+  constexpr milliseconds kStartTimeout{20'000};
+  const auto end = Clock::now() + kStartTimeout;
+  const std::string address = Address(machine, kReadyPort);
+  while (
+      Call(address, "GET", "/briarwood/readyz", {{"Host", address}}, {}, kOperatorTimeout).status !=
+      200) {
+    if (Clock::now() > end) throw RigError("an entry is not ready");
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+void Fleet::ServePlatform(Channel& channel) {
   while (const auto head = channel.ReadHead()) {
     if (!channel.ReadBody(*head)) return;
-    const std::string content =
-        head->Word(0) == "GET" ? R"({"instances":[],"next":null})" : std::string("{}");
+    const std::string content = head->Word(0) == "GET" ? ListEngines() : std::string("{}");
     if (!channel.Write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                        std::to_string(content.size()) + "\r\n\r\n" + content)) {
       return;
@@ -229,8 +381,7 @@
 }
 
 std::string MakePlainState(unsigned version) {
-  return MakeState(version,
-                   R"([{"name":"t1","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1}])");
+  return MakeState(version, R"([{"name":"t1","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1}])");
 }
 
 bool HasVersion(const std::string& content, unsigned version) {
