Let all but at most one member with a disk vote

Callers saw: a core of five machines was split into two and three.

Cause: the group kept 2n + 1 voters whatever its size, so that a majority of the voters (two of three) was fewer than half of the members. Ruled out: a stale read by the entries, since the members on their side never learned of the change; an election without a majority, since both acknowledging members voted.

Change: the target is the largest odd number up to the number of members with a disk, and at least 2n + 1.

GroupTest.AMinorityOfFiveMembersCommitsNothing failed before (both Put calls succeeded) and passes.

--- a/include/briarwood/control/membership_planner.h
+++ b/include/briarwood/control/membership_planner.h
@@ -11,7 +11,8 @@
 namespace briarwood::control {
 
 struct MembershipPlannerOptions {
-  /// Target number of voters.
+  /// Minimum target of the number of voters. The target grows with the number of members with a
+  /// disk, so that each majority of the voters is at least half of these members.
   std::size_t voters = 3;
   /// A voter that acknowledged nothing for this long is replaced by a learner that is ready.
   common::Duration voter_timeout = std::chrono::milliseconds(1500);
--- a/src/control/membership_planner.cc
+++ b/src/control/membership_planner.cc
@@ -23,6 +23,10 @@
       });
 }
 
+std::size_t LargestOddUpTo(std::size_t count) {
+  return count % 2 == 0 && count > 0 ? count - 1 : count;
+}
+
 }  // namespace
 
 std::optional<consensus::MembershipChange> MembershipPlanner::Next(
@@ -36,11 +40,13 @@
                                           : leading_since;
     return now - silent_since;
   };
+  std::size_t counted = 0;
   std::size_t voters = 0;
   const schema::Member* silent_voter = nullptr;
   const schema::Member* ready_learner = nullptr;
   for (const schema::Member& member : membership.members()) {
     if (member.voter()) ++voters;
+    if (!member.without_disk()) ++counted;
     if (member.id() == self.value()) continue;
     if (IsSuperseded(membership, member)) {
       return consensus::RemoveMember{common::MemberId(member.id())};
@@ -62,7 +68,8 @@
     if (ready && ready_learner == nullptr) ready_learner = &member;
   }
   if (ready_learner == nullptr) return std::nullopt;
-  if (voters < options_.voters) {
+  const std::size_t target = std::max(options_.voters, LargestOddUpTo(counted));
+  if (voters < target) {
     return consensus::PromoteLearner{common::MemberId(ready_learner->id())};
   }
   if (silent_voter != nullptr) {
--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -53,7 +53,7 @@
   void SetUp() override {
     root_ = std::filesystem::path(testing::TempDir()) / ("group_" + std::to_string(::getpid()));
     std::filesystem::remove_all(root_);
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < 5; ++i) {
       members_.push_back(std::make_unique<Member>());
       const auto port = http::FindFreePort("127.0.0.1");
       members_.back()->address = "127.0.0.1:" + std::to_string(port);
@@ -206,6 +206,22 @@
   }));
 }
 
+// Guards against a minority of the members that acknowledges because only the first three vote
+// (review/7).
+TEST_F(GroupTest, AMinorityOfFiveMembersCommitsNothing) {
+  FormGroup();
+  for (const std::size_t added : {3U, 4U}) {
+    Start(added, /*bootstrap=*/false);
+    WaitStarted(added);
+  }
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3) && Holds(4); }));
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (const std::size_t lost : {2U, 3U, 4U}) Stop(*members_[lost]);
+  std::this_thread::sleep_for(milliseconds(1000));
+  EXPECT_FALSE(Put(0));
+  EXPECT_FALSE(Put(1));
+}
+
 // Guards against a process that ends because the group replaced its member while it was away: it
 // joins the group again with an empty folder and a new id.
 TEST_F(GroupTest, RemovedMemberJoinsAgainInTheSameProcess) {
--- a/tests/control/membership_planner_test.cc
+++ b/tests/control/membership_planner_test.cc
@@ -63,6 +63,17 @@
   EXPECT_EQ(Next(), "remove 3");
 }
 
+// Guards against a majority of the voters that is less than half of the members: the smaller side of
+// a partition would commit (review/7).
+TEST_F(MembershipPlannerTest, LetsALargerGroupHaveMoreVoters) {
+  Add(1, true, milliseconds(0));
+  Add(2, true, milliseconds(10));
+  Add(3, true, milliseconds(10));
+  Add(4, false, milliseconds(10));
+  Add(5, false, milliseconds(10));
+  EXPECT_EQ(Next(), "promote 4");
+}
+
 // Guards against a voter that remains in the group after its disk was lost and its process joined
 // again with a new id at the same address. The vote of the old id is never cast again.
 TEST_F(MembershipPlannerTest, RemovesThePreviousMemberOfAnAddress) {
