Hand the leadership to a voter that answers

Callers saw: no leader for up to 1.5 s when a leader stopped while another voter was down, and a leader that kept its role until it ended.

Cause: TransferLeadership chose the voter with the longest acknowledged log. While nothing is written, a voter that has stopped has as many entries as the others, and the lowest id won.

Change: a voter that acknowledged a round within the election timeout goes before one that did not. RaftTest.TransfersLeadershipToAVoterThatAnswers failed before and passes.

--- a/src/consensus/raft_leader.cc
+++ b/src/consensus/raft_leader.cc
@@ -258,12 +258,16 @@
 bool Raft::TransferLeadership(common::MemberId target, common::Time now) {
   if (role_ != Role::kLeader || transfer_target_ != 0) return false;
   std::uint64_t chosen = target.value();
-  std::uint64_t best = 0;
+  // A voter that has stopped may hold as many entries as the others.
+  std::pair<bool, std::uint64_t> best;
   for (const auto& [id, progress] : progress_) {
     if (target.value() != 0 || !IsVoter(id)) continue;
-    if (chosen == 0 || progress.match > best) {
+    const bool answers = progress.acked_round_sent_at &&
+                         now - *progress.acked_round_sent_at < timing_.election_timeout;
+    const std::pair candidate(answers, progress.match);
+    if (chosen == 0 || candidate > best) {
       chosen = id;
-      best = progress.match;
+      best = candidate;
     }
   }
   if (chosen == id_ || !IsVoter(chosen)) return false;
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -347,5 +347,22 @@
   EXPECT_EQ(reused.error(), MembershipError::kIdUsed);
 }
 
+// Guards against a leadership that is handed to a voter that has stopped: its log is as long as the
+// others' while nothing is written.
+TEST_F(RaftTest, TransfersLeadershipToAVoterThatAnswers) {
+  for (const std::uint64_t id : kAll) Add(id, Voters(3));
+  AdvanceTime(milliseconds(3000));
+  Raft& leader = Leader();
+  const std::uint64_t stopped = leader.id().value() == 1 ? 2 : 1;
+  const std::uint64_t other = 6 - stopped - leader.id().value();
+  const auto drop = [stopped](const schema::ConsensusMessage& message) {
+    return message.from() == stopped || message.to() == stopped;
+  };
+  AdvanceTime(milliseconds(1000), drop);
+  ASSERT_TRUE(leader.TransferLeadership({}, now_));
+  AdvanceTime(milliseconds(200), drop);
+  EXPECT_EQ(members_.at(other).role(), Role::kLeader);
+}
+
 }  // namespace
 }  // namespace briarwood::consensus
