Give the vote of a member that stops or fails to one that has caught up

One planned replacement, and the loss of another disk 0.7 s later, ended the same way.

Cause: a member that stopped handed over the leadership and kept its vote. A ready learner was promoted only after the voter had been silent for 1.5 s, one change every 250 ms, on the thread that also waits for the platform. Ruled out: the number of voters alone.

Change: a member that stops says so (Leave) and ends once its vote has moved; refused connections count after 250 ms; the learner is promoted first, the failed voter is demoted and keeps its log. Members that are gone leave the count (5 s after an announcement or refused connections, 30 s after silence), which is recorded in the membership for the next leader. Changes have a thread of their own.

GroupTest.PlannedReplacementsLeaveAMajorityThatSurvivesALoss and GroupTest.SurvivesADiskLossRightAfterAPlannedReplacement failed before and pass.

--- a/include/briarwood/consensus/membership.h
+++ b/include/briarwood/consensus/membership.h
@@ -18,11 +18,23 @@
   common::MemberId id;
 };
 
+/// Makes a voter a learner, which keeps its log and can be promoted again.
+struct DemoteVoter {
+  common::MemberId id;
+};
+
+/// Records whether a learner is taken to be gone for good, so that later leaders know it.
+struct SetDeparted {
+  common::MemberId id;
+  bool departed = false;
+};
+
 struct RemoveMember {
   common::MemberId id;
 };
 
-using MembershipChange = std::variant<AddLearner, PromoteLearner, RemoveMember>;
+using MembershipChange =
+    std::variant<AddLearner, PromoteLearner, DemoteVoter, SetDeparted, RemoveMember>;
 
 enum class MembershipError : std::uint8_t {
   /// This member is not the leader, or is transferring leadership.
@@ -33,6 +45,7 @@
   /// The id was used before.
   kIdUsed,
   kAlreadyVoter,
+  kNotVoter,
   /// The learner does not hold the entries committed when it was added.
   kNotCaughtUp,
   kLastVoter,
--- a/include/briarwood/consensus/raft.h
+++ b/include/briarwood/consensus/raft.h
@@ -77,7 +77,8 @@
   common::Result<LogPosition, MembershipError> ChangeMembership(const MembershipChange& change);
   /// Completes with ReadConfirmed or ReadFailed.
   void Read(ReadId id, common::Time now);
-  /// Starts a transfer of leadership to a voter; a zero id selects the most up-to-date one.
+  /// Starts a transfer of leadership to a voter; a zero id selects the most up-to-date one
+  /// that answers.
   /// Proposals and membership changes are rejected during the transfer. It ends after the election
   /// timeout at the latest: this member then continues to lead if the target has not caught up, and
   /// otherwise becomes a follower, because the target may still start an election.
@@ -226,6 +227,10 @@
       const AddLearner& change) const;
   common::Result<schema::Membership, MembershipError> MembershipAfter(
       const PromoteLearner& change) const;
+  common::Result<schema::Membership, MembershipError> MembershipAfter(
+      const DemoteVoter& change) const;
+  common::Result<schema::Membership, MembershipError> MembershipAfter(
+      const SetDeparted& change) const;
   common::Result<schema::Membership, MembershipError> MembershipAfter(
       const RemoveMember& change) const;
 
--- a/include/briarwood/control/node_options.h
+++ b/include/briarwood/control/node_options.h
@@ -59,6 +59,10 @@
   common::LogIndex match;
   /// Send time of the latest message that the member acknowledged to this leader.
   std::optional<common::Time> last_ack;
+  /// Time since which the member has refused all connections; nothing if it does not.
+  std::optional<common::Time> refused_since;
+  /// The member announced that it stops, and has not been back since.
+  bool leaving = false;
 };
 
 struct NodeStatus {
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -20,6 +20,8 @@
       return "the member id was used before";
     case MembershipError::kAlreadyVoter:
       return "the member is a voter already";
+    case MembershipError::kNotVoter:
+      return "the member is not a voter";
     case MembershipError::kNotCaughtUp:
       return "the learner does not hold all entries committed when it was added";
     case MembershipError::kLastVoter:
@@ -77,6 +79,30 @@
       return ChangeResult::Failure(MembershipError::kNotCaughtUp);
     }
     member.set_voter(true);
+    member.set_departed(false);
+    return ChangeResult::Success(std::move(next));
+  }
+  return ChangeResult::Failure(MembershipError::kUnknownMember);
+}
+
+ChangeResult Raft::MembershipAfter(const DemoteVoter& change) const {
+  schema::Membership next = membership();
+  for (schema::Member& member : *next.mutable_members()) {
+    if (member.id() != change.id.value()) continue;
+    if (!member.voter()) return ChangeResult::Failure(MembershipError::kNotVoter);
+    if (VoterCount() == 1) return ChangeResult::Failure(MembershipError::kLastVoter);
+    member.set_voter(false);
+    return ChangeResult::Success(std::move(next));
+  }
+  return ChangeResult::Failure(MembershipError::kUnknownMember);
+}
+
+ChangeResult Raft::MembershipAfter(const SetDeparted& change) const {
+  schema::Membership next = membership();
+  for (schema::Member& member : *next.mutable_members()) {
+    if (member.id() != change.id.value()) continue;
+    if (member.voter()) return ChangeResult::Failure(MembershipError::kAlreadyVoter);
+    member.set_departed(change.departed);
     return ChangeResult::Success(std::move(next));
   }
   return ChangeResult::Failure(MembershipError::kUnknownMember);
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -19,7 +19,7 @@
 #include "briarwood/control/leader_duties.h"
 #include "briarwood/control/list_schedule.h"
 #include "briarwood/control/member_identity.h"
-#include "briarwood/control/membership_planner.h"
+#include "briarwood/control/membership_manager.h"
 #include "briarwood/distribution/sync_server.h"
 #include "briarwood/observability/log.h"
 #include "briarwood/observability/log_line.h"
@@ -53,6 +53,10 @@
 constexpr milliseconds kUsageReportRetryDelay{1000};
 constexpr milliseconds kAddLearnerTimeout{700};
 constexpr milliseconds kMembershipChangeTimeout{500};
+constexpr milliseconds kMembershipPeriod{50};
+/// Time for the group to give the vote of a member that stops to another member.
+constexpr milliseconds kLeaveTimeout{1000};
+constexpr milliseconds kLeavePollInterval{20};
 constexpr milliseconds kGroupCallTimeout{400};
 constexpr milliseconds kGroupMaxConfirmationAge{1000};
 /// Time without a confirmation after which a member checks whether the group has removed it.
@@ -67,7 +71,7 @@
 MembershipPlannerOptions PlannerOptions(const schema::ControlSettings& settings) {
   MembershipPlannerOptions options;
   // With 2n + 1 voters, a majority remains after the loss of n.
-  if (settings.tolerated_losses() != 0) options.voters = 2 * settings.tolerated_losses() + 1;
+  if (settings.tolerated_losses() != 0) options.min_voters = 2 * settings.tolerated_losses() + 1;
   return options;
 }
 
@@ -148,6 +152,7 @@
     if (std::string problem = StartHttp(); !problem.empty()) return problem;
     CreateDuties();
     threads_.emplace_back([this] { RunDuties(); });
+    if (formed_from_seeds()) threads_.emplace_back([this] { RunMembership(); });
     threads_.emplace_back([this] { RunReports(); });
     if (options_.read_backends) threads_.emplace_back([this] { RunBackendList(); });
     log_.Info(LogLine("started")
@@ -166,7 +171,9 @@
 
   bool Drain(milliseconds limit) {
     draining_ = true;
-    return node_->TransferLeadership(common::MemberId(0), limit);
+    const bool transferred = node_->TransferLeadership(common::MemberId(0), limit);
+    if (formed_from_seeds()) LeaveGroup();
+    return transferred;
   }
 
   void SetSeeds(const std::vector<std::string>& seeds) {
@@ -402,14 +409,21 @@
                      common::TimerService::Now());
   }
 
-  /// \returns the RPC addresses of the members, starting with the leader.
+  /// \returns the RPC addresses of the members: the leader, the other voters, the learners. A
+  /// learner may be a member that has failed.
   [[nodiscard]] std::vector<std::string> MemberAddresses() const {
     const NodeStatus status = node_->status();
     std::vector<std::string> addresses;
+    std::vector<std::string> learners;
     for (const schema::Member& member : status.membership.members()) {
+      if (!member.voter()) {
+        learners.push_back(member.rpc_address());
+        continue;
+      }
       const bool leads = member.id() == status.leader.value();
       addresses.insert(leads ? addresses.begin() : addresses.end(), member.rpc_address());
     }
+    addresses.insert(addresses.end(), learners.begin(), learners.end());
     return addresses;
   }
 
@@ -471,30 +485,45 @@
     return response;
   }
 
-  /// Lets the leader replace failed members, one membership change at a time.
-  void RepairGroup(const NodeStatus& status) {
-    if (!formed_from_seeds()) return;
-    const common::Time now = common::TimerService::Now();
-    const auto change = planner_.Next(status.membership, status.id, status.contacts,
-                                      status.commit_index, leading_since_, now);
-    if (!change) return;
-    const auto changed = node_->ChangeMembership(*change, kMembershipChangeTimeout);
-    log_.Info(LogLine("membership_change")
-                  .Add("change", Describe(*change))
-                  .Add("committed", changed.ok())
-                  .Add("problem", changed.ok() ? std::string_view() : changed.error())
-                  .Add("term", status.term.value())
-                  .text());
+  /// Lets the leader change the membership. On a thread of its own, since the duties wait for the
+  /// platform.
+  void RunMembership() {
+    while (!WaitForStop(kMembershipPeriod)) membership_.Update(common::TimerService::Now());
   }
 
-  static std::string Describe(const consensus::MembershipChange& change) {
-    if (const auto* promote = std::get_if<consensus::PromoteLearner>(&change)) {
-      return "promote:" + std::to_string(promote->id.value());
-    }
-    if (const auto* remove = std::get_if<consensus::RemoveMember>(&change)) {
-      return "remove:" + std::to_string(remove->id.value());
+  [[nodiscard]] MembershipContext MakeMembershipContext() {
+    return {.status = [this] { return node_->status(); },
+            .change =
+                [this](const consensus::MembershipChange& change) {
+                  return node_->ChangeMembership(change, kMembershipChangeTimeout);
+                },
+            .log = [this](const std::string& line) { log_.Info(line); }};
+  }
+
+  /// Announces to the leader that this member stops, and waits until its vote has been given to
+  /// another member, or cannot be.
+  void LeaveGroup() {
+    const common::Time deadline = common::TimerService::Now() + kLeaveTimeout;
+    const schema::LeaveRequest request = membership_.MakeLeaveRequest(id_);
+    bool pending = true;
+    std::string named_leader;
+    while (pending && common::TimerService::Now() < deadline) {
+      const std::string leader =
+          named_leader.empty() ? node_->status().leader_rpc : std::exchange(named_leader, {});
+      try {
+        if (!leader.empty()) {
+          const auto response =
+              ClientTo(leader).Call<schema::LeaveResponse>("Leave", request, kGroupCallTimeout);
+          pending = response.pending();
+          named_leader = response.leader_rpc();
+        }
+      } catch (const rpc::RpcError& error) {
+        log_.Info(
+            LogLine("leave_unanswered").Add("leader", leader).Add("problem", error.what()).text());
+      }
+      if (pending) std::this_thread::sleep_for(kLeavePollInterval);
     }
-    return "add";
+    log_.Info(LogLine("leave").Add("member", id_.value()).Add("pending", pending).text());
   }
 
   /// Asks the other members whether the group has removed this one if it has no recent
@@ -642,6 +671,10 @@
     if (!formed_from_seeds()) return;
     rpc_server_.Handle<schema::JoinRequest, schema::JoinResponse>(
         "Join", [this](const schema::JoinRequest& request) { return AdmitMember(request); });
+    rpc_server_.Handle<schema::LeaveRequest, schema::LeaveResponse>(
+        "Leave", [this](const schema::LeaveRequest& request) {
+          return membership_.HandleLeave(request, common::TimerService::Now());
+        });
     rpc_server_.Handle<schema::GroupRequest, schema::GroupResponse>(
         "Group", [this](const schema::GroupRequest&) { return DescribeGroup(); });
   }
@@ -737,10 +770,8 @@
     }
     const bool new_term = std::exchange(led_term_, status.term) != status.term;
     if (new_term) {
-      leading_since_ = common::TimerService::Now();
-      fleet_.BecomeLeader(leading_since_);
+      fleet_.BecomeLeader(common::TimerService::Now());
     }
-    RepairGroup(status);
     std::vector<schema::Customer> customers;
     const common::LogIndex changed =
         node_->WithState([](const ControlState& state) { return state.table().last_change(); });
@@ -828,7 +859,7 @@
   common::MemberId id_;
   std::vector<schema::ControlPeer> peers_;
   bool join_ = false;
-  MembershipPlanner planner_{PlannerOptions(options_.settings)};
+  MembershipManager membership_{PlannerOptions(options_.settings), MakeMembershipContext()};
   mutable std::mutex seeds_mutex_;
   std::vector<std::string> seeds_{options_.settings.seeds().begin(),
                                   options_.settings.seeds().end()};
@@ -841,7 +872,6 @@
   std::mutex admission_mutex_;
   std::map<std::uint64_t, common::MemberId> admitted_ids_;
   common::Time started_at_ = common::TimerService::Now();
-  common::Time leading_since_;
   std::atomic<bool> removed_ = false;
   bool leader_unreachable_ = false;
   observability::Metrics metrics_{observability::MetricsOptions{}};
--- a/src/control/impl/peer_sender.cc
+++ b/src/control/impl/peer_sender.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaxQueuedMessages = 256;
+/// Refused connections further apart than this say nothing about the time between them.
+constexpr std::chrono::milliseconds kMaxRefusalInterval{500};
 
 }  // namespace
 
@@ -56,10 +58,29 @@
   if (common::TimerService::Now() - queued.queued_at > max_age_) return;
   try {
     static_cast<void>(client_.Call<schema::ConsensusMessage>("Consensus", queued.message));
-  } catch (const rpc::RpcError&) {
+    RecordOutcome(/*refused=*/false);
+  } catch (const rpc::RpcError& error) {
     // Raft sends lost messages again.
-    return;
+    RecordOutcome(error.refused());
   }
 }
 
+void PeerSender::RecordOutcome(bool refused) {
+  const common::Time now = common::TimerService::Now();
+  const std::lock_guard lock(mutex_);
+  if (!refused) {
+    refusals_.reset();
+  } else if (refusals_ && now - refusals_->last <= kMaxRefusalInterval) {
+    refusals_->last = now;
+  } else {
+    refusals_ = Refusals{.first = now, .last = now};
+  }
+}
+
+std::optional<common::Time> PeerSender::RefusedSince(common::Time now) const {
+  const std::lock_guard lock(mutex_);
+  if (!refusals_ || now - refusals_->last > kMaxRefusalInterval) return std::nullopt;
+  return refusals_->first;
+}
+
 }  // namespace briarwood::control
--- a/src/control/impl/peer_sender.h
+++ b/src/control/impl/peer_sender.h
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -28,20 +29,31 @@
 
   [[nodiscard]] const std::string& address() const noexcept { return client_.address(); }
 
+  /// \returns the first of the refused connections since the last other outcome; nothing if none
+  /// was refused recently.
+  [[nodiscard]] std::optional<common::Time> RefusedSince(common::Time now) const;
+
  private:
   struct QueuedMessage {
     common::Time queued_at;
     schema::ConsensusMessage message;
   };
 
+  struct Refusals {
+    common::Time first;
+    common::Time last;
+  };
+
   void Run();
   void SendQueued(const QueuedMessage& queued);
+  void RecordOutcome(bool refused);
 
   rpc::Client client_;
   common::Duration max_age_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<QueuedMessage> queue_;
+  std::optional<Refusals> refusals_;
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/src/control/impl/raft_loop.cc
+++ b/src/control/impl/raft_loop.cc
@@ -221,12 +221,17 @@
   next.commit_index = raft_.commit_index();
   next.membership = raft_.membership();
   if (next.role == consensus::Role::kLeader) {
+    const common::Time now = common::TimerService::Now();
     for (const schema::Member& member : next.membership.members()) {
       const common::MemberId id(member.id());
       if (id == raft_.id()) continue;
+      const auto sender = senders_.find(member.id());
       next.contacts.push_back({.id = id,
                                .match = raft_.MatchOf(id).value_or(common::LogIndex()),
-                               .last_ack = raft_.LastAckOf(id)});
+                               .last_ack = raft_.LastAckOf(id),
+                               .refused_since = sender == senders_.end()
+                                                    ? std::nullopt
+                                                    : sender->second->RefusedSince(now)});
     }
   }
   next.lease_end = raft_.lease_end();
--- a/src/rpc/client.cc
+++ b/src/rpc/client.cc
@@ -53,7 +53,7 @@
     payload =
         common::DecodeBase64(impl_->Call(method, common::EncodeBase64(request), timeout.count()));
   } catch (const rpc_connectors::ConnectorError& error) {
-    throw RpcError(error.what(), error.sent());
+    throw RpcError(error.what(), error.sent(), error.refused());
   }
   if (!payload || !response.ParseFromString(*payload)) {
     throw RpcError("response to \"" + method + "\" is not a valid " + response.GetTypeName(), true);
--- a/src/rpc_connectors/caller.cc
+++ b/src/rpc_connectors/caller.cc
@@ -2,6 +2,7 @@
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/client/iclientconnector.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "rpc_connectors/connectors.h"
@@ -48,6 +49,7 @@
                       std::string& result) throw(jsonrpc::JsonRpcException) override {
     result.clear();
     sent_ = true;
+    refused_ = false;
     curl_easy_setopt(curl_, CURLOPT_URL, options_.url.c_str());
     curl_easy_setopt(curl_, CURLOPT_HTTPHEADER, headers_);
     curl_easy_setopt(curl_, CURLOPT_POSTFIELDS, message.data());
@@ -65,6 +67,9 @@
     if (code != CURLE_OK) {
       sent_ = code != CURLE_COULDNT_CONNECT && code != CURLE_PEER_FAILED_VERIFICATION &&
               code != CURLE_SSL_CONNECT_ERROR && code != CURLE_COULDNT_RESOLVE_HOST;
+      long system_error = 0;  // NOLINT(google-runtime-int): type that libcurl writes
+      curl_easy_getinfo(curl_, CURLINFO_OS_ERRNO, &system_error);
+      refused_ = code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
       throw jsonrpc::JsonRpcException(
           jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
           std::string("call to ") + options_.url + " failed: " + curl_easy_strerror(code));
@@ -79,6 +84,7 @@
   }
 
   bool sent() const { return sent_; }
+  bool refused() const { return refused_; }
 
  private:
   ClientOptions options_;
@@ -86,6 +92,7 @@
   CURL* curl_;
   curl_slist* headers_ = nullptr;
   bool sent_ = false;
+  bool refused_ = false;
 };
 
 class HttpJsonRpcClient : public JsonRpcClient {
@@ -102,7 +109,7 @@
     try {
       return client_.CallMethod("call", parameters).asString();
     } catch (const jsonrpc::JsonRpcException& error) {
-      throw ConnectorError(error.GetMessage(), connector_.sent());
+      throw ConnectorError(error.GetMessage(), connector_.sent(), connector_.refused());
     } catch (const Json::Exception& error) {
       throw ConnectorError(std::string("invalid response: ") + error.what(), connector_.sent());
     }
--- a/src/rpc_connectors/connectors.h
+++ b/src/rpc_connectors/connectors.h
@@ -14,15 +14,20 @@
 /// Thrown when a listener cannot start or a call receives no valid response.
 class ConnectorError : public std::runtime_error {
  public:
-  ConnectorError(const std::string& message, bool sent)
-      : std::runtime_error(message), sent_(sent) {}
+  ConnectorError(const std::string& message, bool sent, bool refused = false)
+      : std::runtime_error(message), sent_(sent), refused_(refused) {}
 
   /// False if it is certain that no byte of the request was sent.
   // NOLINTNEXTLINE(modernize-use-nodiscard): C++14 has no such attribute
   bool sent() const noexcept { return sent_; }
 
+  /// True if the connection was refused, so that nothing listens at the address.
+  // NOLINTNEXTLINE(modernize-use-nodiscard): C++14 has no such attribute
+  bool refused() const noexcept { return refused_; }
+
  private:
   bool sent_;
+  bool refused_;
 };
 
 /// PEM texts; an empty certificate means plain text.
--- a/tests/control/group_test.cc
+++ b/tests/control/group_test.cc
@@ -103,6 +103,12 @@
 
   void WaitStarted(std::size_t index) { members_[index]->starting.join(); }
 
+  /// Ends a member as after SIGTERM.
+  static void DrainAndStop(Member& member) {
+    EXPECT_TRUE(member.daemon->Drain(milliseconds(1500)));
+    Stop(member);
+  }
+
   static void Stop(Member& member) {
     member.interrupted = true;
     if (member.starting.joinable()) member.starting.join();
@@ -206,6 +212,49 @@
   }));
 }
 
+// Guards against a group without a majority after two members whose successors had caught up stop
+// 1 s apart and a third member then loses its disk (review/6).
+TEST_F(GroupTest, PlannedReplacementsLeaveAMajorityThatSurvivesALoss) {
+  FormGroup();
+  for (const std::size_t successor : {3U, 4U}) {
+    Start(successor, /*bootstrap=*/false);
+    WaitStarted(successor);
+  }
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Voters(3).size() == 5; }));
+  DrainAndStop(*members_[0]);
+  std::this_thread::sleep_for(milliseconds(1000));
+  DrainAndStop(*members_[1]);
+  EXPECT_TRUE(Eventually(milliseconds(2000), [this] { return Put(3) && Holds(2); }));
+  EXPECT_TRUE(Eventually(milliseconds(9000), [this] {
+    return Voters(3) == std::vector<std::uint64_t>{3, 4, 5};
+  }));
+  Stop(*members_[2]);
+  std::filesystem::remove_all(members_[2]->folder);
+  seeds_ = {members_[3]->address, members_[4]->address};
+  Start(2, /*bootstrap=*/false);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Put(3) && Holds(4); }));
+  WaitStarted(2);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(2); }));
+}
+
+// Guards against a member that stops with its vote although a successor has caught up: the disk
+// that is lost next takes the majority with it.
+TEST_F(GroupTest, SurvivesADiskLossRightAfterAPlannedReplacement) {
+  FormGroup();
+  Start(3, /*bootstrap=*/false);
+  WaitStarted(3);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3); }));
+  std::this_thread::sleep_for(milliseconds(600));
+  DrainAndStop(*members_[0]);
+  Stop(*members_[1]);
+  std::filesystem::remove_all(members_[1]->folder);
+  seeds_ = {members_[2]->address, members_[3]->address};
+  Start(1, /*bootstrap=*/false);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Put(3) && Holds(2); }));
+  WaitStarted(1);
+  EXPECT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(1); }));
+}
+
 // Guards against a minority of the members that acknowledges because only the first three vote
 // (review/7).
 TEST_F(GroupTest, AMinorityOfFiveMembersCommitsNothing) {
@@ -222,6 +271,23 @@
   EXPECT_FALSE(Put(1));
 }
 
+// Guards against a rolling restart in which a member returns without a vote, or loses its log.
+TEST_F(GroupTest, MembersOfARollingRestartKeepTheirIdentity) {
+  FormGroup();
+  Start(3, /*bootstrap=*/false);
+  WaitStarted(3);
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] { return Holds(3); }));
+  for (std::size_t i = 0; i < 4; ++i) {
+    const std::uint64_t id = members_[i]->backend->Status().member_id();
+    DrainAndStop(*members_[i]);
+    Start(i, /*bootstrap=*/false);
+    WaitStarted(i);
+    ASSERT_TRUE(Eventually(milliseconds(4000), [&] { return Holds(i) && Put((i + 1) % 4); })) << i;
+    EXPECT_EQ(members_[i]->backend->Status().member_id(), id);
+    EXPECT_TRUE(Eventually(milliseconds(2000), [&] { return Voters(i).size() == 3; })) << i;
+  }
+}
+
 // Guards against a process that ends because the group replaced its member while it was away: it
 // joins the group again with an empty folder and a new id.
 TEST_F(GroupTest, RemovedMemberJoinsAgainInTheSameProcess) {
@@ -232,6 +298,12 @@
   ASSERT_TRUE(Eventually(milliseconds(6000), [this] {
     return Voters(0) == std::vector<std::uint64_t>{1, 2, 4} && Holds(3);
   }));
+  ASSERT_TRUE(Eventually(milliseconds(4000), [this] {
+    for (std::size_t i = 0; i < 2; ++i) {
+      if (members_[i]->backend->Remove(common::MemberId(3), milliseconds(800)).ok()) return true;
+    }
+    return false;
+  }));
   Start(2, /*bootstrap=*/false);
   WaitStarted(2);
   ASSERT_TRUE(Eventually(milliseconds(8000), [this] { return members_[2]->removed.load(); }));
