Take a response without length as cut if the write of the request was reset

Cause: a socket reports a reset once. The write in progress took it, the read then saw an orderly end, and the connection took that end as the end of the body. A failed write only cleared written_. Ruled out: the parser, which reports the error when the read takes it (a request that was written whole ended as cut).

Change: if the length of a body is the end of the connection, the call is complete only if the write of the request did not fail. A write still in progress has 200 ms to fail; without a reset the end was in order. Bodies with a length or chunks are not affected.

--- a/src/http/outgoing.cc
+++ b/src/http/outgoing.cc
@@ -32,6 +32,9 @@
 constexpr std::size_t kMaxSkippedBytes = std::size_t{1024} * 1024;
 /// The connection is closed if the server acknowledges neither data nor probes for this time.
 constexpr std::chrono::milliseconds kPeerTimeout{3000};
+/// Time for a reset to end the write of the request after the read has seen the end of the
+/// connection.
+constexpr std::chrono::milliseconds kResetTimeout{200};
 /// Idle time after which a connection is not reused if the server states no timeout.
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{4000};
 /// Fraction of the server's stated idle timeout that is used: if the server closes the connection
@@ -71,6 +74,7 @@
     reusable_ = false;
     response_seen_ = false;
     written_ = false;
+    write_failed_ = false;
     bytes_sent_ = 0;
     extra_responses_ = 0;
     skipped_bytes_ = 0;
@@ -161,11 +165,12 @@
                         if (!self->IsCurrent(call)) return;
                         self->bytes_sent_ = bytes;
                         self->written_ = !error;
+                        self->write_failed_ = error.failed();
                         if (error && bytes == 0 && !self->response_seen_) {
                           self->End(CallEnd::kNotSent);
                           return;
                         }
-                        if (self->complete_) self->End(CallEnd::kComplete);
+                        if (self->complete_) self->EndAfterResponse();
                       });
     complete_ = false;
     ReadHeader();
@@ -263,11 +268,37 @@
       return;
     }
     complete_ = true;
+    EndAfterResponse();
+  }
+
+  /// Ends the call once the response has ended and what the write of the request shows is known.
+  void EndAfterResponse() {
+    if (parser_->need_eof()) {
+      // The socket reports a reset once. If the write has taken it, the read sees an orderly end.
+      if (write_failed_) {
+        End(CallEnd::kCutShort);
+      } else if (written_) {
+        End(CallEnd::kComplete);
+      } else {
+        EndUnlessReset();
+      }
+      return;
+    }
     // A server that keeps the connection still expects the rest of the request.
-    if (!written_ && keep_alive_) return;
+    if (!written_ && !write_failed_ && keep_alive_) return;
     End(CallEnd::kComplete);
   }
 
+  /// Waits for the write of the request, which fails if the end of the connection was a reset. A
+  /// server may also end its response in order and leave the rest of the request unread.
+  void EndUnlessReset() {
+    const std::uint64_t call = call_number_;
+    timer_.expires_after(kResetTimeout);
+    timer_.async_wait([self = Self(), call](const ErrorCode& error) {
+      if (!error && self->IsCurrent(call)) self->End(CallEnd::kComplete);
+    });
+  }
+
   /// Counts an interim or skipped response. \returns false if there were too many.
   [[nodiscard]] bool MayReadExtraResponse() noexcept {
     return ++extra_responses_ <= kMaxExtraResponses;
@@ -336,6 +367,7 @@
   bool reusable_ = false;
   bool response_seen_ = false;
   bool written_ = false;
+  bool write_failed_ = false;
   bool complete_ = false;
   bool keep_alive_ = false;
   bool skip_response_ = false;
