Reject responses whose status is outside 100 to 599

Cause: OutgoingConnection took every status under 200 for an interim response and read what followed as the next head; 600 and above passed. http::Client passed every status on. Ruled out: the parser, which accepts any three digits.

Change: a status outside 100 to 599 is no HTTP response (RFC 9110, section 15). The call ends as invalid, the connection is closed, and no header of the response counts, so that it cannot state that the request did not run. The attempt is judged as for other bytes that are no response: it may have run, and only what may run again is sent again.

OutgoingTest.RejectsAStatusThatDoesNotExist failed before for all four statuses, with both clients, and passes.

--- a/include/briarwood/http/heads.h
+++ b/include/briarwood/http/heads.h
@@ -59,6 +59,9 @@
 /// \returns the standard reason phrase of a status code, or an empty string for an unknown code.
 [[nodiscard]] std::string ReasonPhrase(std::uint16_t status);
 
+/// True for a status between 100 and 599. A response with another one is invalid (RFC 9110, 15).
+[[nodiscard]] bool IsValidStatus(unsigned status) noexcept;
+
 /// True for the statuses by which a response promises that the request has not run and will not:
 /// 408, 421, 429 and 503. A caller may send such a request again even if it must not run twice.
 [[nodiscard]] bool PromisesNotRun(std::uint16_t status) noexcept;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,8 +5,11 @@
 
 #include <algorithm>
 #include <future>
+#include <string>
 #include <utility>
 
+#include "briarwood/http/heads.h"
+
 namespace briarwood::http {
 namespace {
 
@@ -45,6 +48,13 @@
       Fail(error.what());
       return;
     }
+    if (!IsValidStatus(response_.status_code())) {
+      const std::string problem =
+          "response with the invalid status " + std::to_string(response_.status_code());
+      cancellation_.cancel();
+      End({.complete = false, .message = problem});
+      return;
+    }
     if (handlers_.on_head) {
       handlers_.on_head(response_.status_code(), ToHeaders(response_.headers()));
     }
--- a/src/http/heads.cc
+++ b/src/http/heads.cc
@@ -63,6 +63,12 @@
   return {reason.data(), reason.size()};
 }
 
+bool IsValidStatus(unsigned status) noexcept {
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kLastStatus = 599;
+  return status >= kFirstStatus && status <= kLastStatus;
+}
+
 bool PromisesNotRun(std::uint16_t status) noexcept {
   constexpr std::array<std::uint16_t, 4> kStatuses = {408, 421, 429, 503};
   return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
--- a/src/http/outgoing.cc
+++ b/src/http/outgoing.cc
@@ -201,6 +201,10 @@
     const auto& message = parser_->get();
     constexpr unsigned kFirstFinalStatus = 200;
     constexpr unsigned kSwitchingProtocols = 101;
+    if (!IsValidStatus(message.result_int())) {
+      End(CallEnd::kInvalid);
+      return;
+    }
     if (message.result_int() < kFirstFinalStatus) {
       if (message.result_int() == kSwitchingProtocols || !MayReadExtraResponse()) {
         End(CallEnd::kInvalid);
--- a/tests/http/outgoing_test.cc
+++ b/tests/http/outgoing_test.cc
@@ -14,6 +14,8 @@
 #include <string>
 #include <thread>
 
+#include "briarwood/http/client.h"
+
 namespace briarwood::http {
 namespace {
 
@@ -220,5 +222,46 @@
   EXPECT_EQ(result.body, "whole");
 }
 
+// Guards against a status outside 100 to 599 that passes as an answer, or whose body is read as the
+// next response.
+TEST_F(OutgoingTest, RejectsAStatusThatDoesNotExist) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto serve = [&](Peer& peer) {
+      peer.Send("HTTP/1.1 " + status + " Odd\r\nContent-Length: " + std::to_string(inner.size()) +
+                "\r\n\r\n" + inner);
+      peer.Read(1);
+    };
+    const Result result = Call(serve, 10);
+    EXPECT_EQ(result.end, CallEnd::kInvalid) << status;
+    EXPECT_EQ(result.status, 0) << status;
+    EXPECT_EQ(result.body, "") << status;
+    EXPECT_FALSE(result.reusable) << status;
+
+    std::optional<Response> response;
+    Serve(serve, [&] {
+      Client client({.base_url = "http://" + Address()});
+      try {
+        response = client.SendAndWait("POST", "/x", {}, "body");
+      } catch (const HttpError&) {
+        response.reset();
+      }
+    });
+    EXPECT_FALSE(response) << status;
+  }
+}
+
+// Guards against interim responses that are refused with the statuses that do not exist.
+TEST_F(OutgoingTest, SkipsInterimResponses) {
+  const Result result = Call(
+      [](Peer& peer) {
+        peer.Send("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      },
+      10);
+  EXPECT_EQ(result.end, CallEnd::kComplete);
+  EXPECT_EQ(result.status, 200);
+  EXPECT_EQ(result.body, "ok");
+}
+
 }  // namespace
 }  // namespace briarwood::http
