--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -506,6 +506,7 @@
     const common::Time deadline = common::TimerService::Now() + kLeaveTimeout;
     const schema::LeaveRequest request = membership_.MakeLeaveRequest(id_);
     bool pending = true;
+    bool logged = false;
     std::string named_leader;
     while (pending && common::TimerService::Now() < deadline) {
       const std::string leader =
@@ -518,8 +519,13 @@
           named_leader = response.leader_rpc();
         }
       } catch (const rpc::RpcError& error) {
-        log_.Info(
-            LogLine("leave_unanswered").Add("leader", leader).Add("problem", error.what()).text());
+        // The leader is called until the deadline.
+        if (!std::exchange(logged, true)) {
+          log_.Info(LogLine("leave_unanswered")
+                        .Add("leader", leader)
+                        .Add("problem", error.what())
+                        .text());
+        }
       }
       if (pending) std::this_thread::sleep_for(kLeavePollInterval);
     }
--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -1,6 +1,7 @@
 #include "membership_simulation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -33,6 +34,7 @@
 constexpr milliseconds kReplacementSettled{3000};
 constexpr std::size_t kMaxMachines = 9;
 constexpr double kLossProbability = 0.005;
+constexpr double kFollowUpProbability = 0.7;
 
 consensus::Timing TestTiming() {
   consensus::Timing timing;
@@ -349,7 +351,7 @@
         leader == nullptr ? nullptr
                           : consensus::FindMember(leader->raft->membership(), machine.id.value());
     const bool votes = member == nullptr || member->voter();
-    machine.lost_until = votes ? now_ + kDepartureSettled : now_;
+    machine.lost_until = votes && !machine.replaceable ? now_ + kDepartureSettled : now_;
   }
   StopProcess(machine);
 }
@@ -357,37 +359,52 @@
 std::vector<MembershipSimulation::Machine*> MembershipSimulation::Candidates() {
   std::vector<Machine*> running;
   for (auto& machine : machines_) {
-    if (machine->running() && !machine->leaving && !machine->removed)
+    if (machine->running() && !machine->leaving && !machine->removed) {
       running.push_back(machine.get());
+    }
   }
   return running;
 }
 
+MembershipSimulation::EventKind MembershipSimulation::RandomKind() {
+  constexpr EventKind kKinds[] = {EventKind::kAdd,    EventKind::kAdd,    EventKind::kRemove,
+                                  EventKind::kRemove, EventKind::kRemove, EventKind::kRestart,
+                                  EventKind::kWipe,   EventKind::kCut};
+  return kKinds[random_.Below(std::size(kKinds))];
+}
+
+void MembershipSimulation::FollowUp(EventKind kind, common::Duration delay) {
+  if (!random_.Chance(kFollowUpProbability)) return;
+  follow_up_ = kind;
+  next_event_ = now_ + delay;
+}
+
 void MembershipSimulation::RandomEvent() {
   std::vector<Machine*> running = Candidates();
   if (running.empty()) return;
   Machine& target = *running[random_.Below(running.size())];
   const std::size_t lost = Lost();
-  switch (random_.Below(6)) {
-    case 0:
-    case 1:
+  const EventKind kind = follow_up_ ? *std::exchange(follow_up_, std::nullopt) : RandomKind();
+  switch (kind) {
+    case EventKind::kAdd:
       if (CoreSize() >= kMaxMachines || cut_until_) break;
       ++coverage_.added;
       machines_[AddMachine()]->starts_at = now_;
       coverage_.max_core = std::max<std::uint64_t>(coverage_.max_core, CoreSize());
       Note("add");
       break;
-    case 2:
+    case EventKind::kRemove:
       if (lost > 0 || cut_until_ || CoreSize() <= 2 * tolerated_ + 1) break;
       RemoveForGood(target, random_.Chance(0.6));
+      FollowUp(EventKind::kWipe, RandomMs(300, 1500));
       break;
-    case 3:
+    case EventKind::kRestart:
       if (lost < tolerated_) Restart(target, random_.Chance(0.5), /*wipe=*/false);
       break;
-    case 4:
+    case EventKind::kWipe:
       if (lost < tolerated_) Restart(target, /*announced=*/false, /*wipe=*/true);
       break;
-    default:
+    case EventKind::kCut:
       if (lost == 0 && !cut_until_) Cut();
       break;
   }
@@ -412,11 +429,23 @@
   machine.initial_membership = {};
 }
 
+bool MembershipSimulation::IsReplaceable(const Machine& machine) {
+  const Machine* leader = LeaderOfSide(machine.side);
+  const auto& membership = (leader == nullptr ? machine : *leader).raft->membership();
+  return std::any_of(membership.members().begin(), membership.members().end(),
+                     [this](const schema::Member& member) {
+                       const Machine* learner = MachineOf(member.id());
+                       return !member.voter() && learner != nullptr && learner->running() &&
+                              !learner->leaving;
+                     });
+}
+
 void MembershipSimulation::RemoveForGood(Machine& machine, bool announced) {
   machine.refuses = random_.Chance(0.5);
   Note("remove " + std::to_string(machine.id.value()) + (announced ? " announced" : "") +
        (machine.refuses ? "" : " silent"));
   ++coverage_.removed;
+  machine.replaceable = IsReplaceable(machine);
   machine.removed = true;
   disturbed_at_ = now_;
   if (announced) {
@@ -425,16 +454,9 @@
     machine.lost_until = machine.leave_deadline;
     return;
   }
-  const Machine* leader = LeaderOfSide(machine.side);
-  const auto& members = leader == nullptr ? machine.raft->membership() : leader->raft->membership();
-  const bool has_learner = std::any_of(
-      members.members().begin(), members.members().end(), [this](const schema::Member& member) {
-        const Machine* learner = MachineOf(member.id());
-        return !member.voter() && learner != nullptr && learner->running();
-      });
-  machine.lost_until = now_ + (has_learner       ? kReplacementSettled
-                               : machine.refuses ? kDepartureSettled
-                                                 : kAbsenceSettled);
+  machine.lost_until = now_ + (machine.replaceable ? kReplacementSettled
+                               : machine.refuses   ? kDepartureSettled
+                                                   : kAbsenceSettled);
   StopProcess(machine);
 }
 
@@ -455,6 +477,7 @@
   cut_until_.reset();
   for (auto& machine : machines_) machine->side = 0;
   disturbed_at_ = now_;
+  FollowUp(EventKind::kCut, RandomMs(4, 400));
 }
 
 void MembershipSimulation::CheckAcknowledgement(const Machine& leader) {
--- a/tests/control/membership_simulation.h
+++ b/tests/control/membership_simulation.h
@@ -38,6 +38,8 @@
  private:
   using Milliseconds = std::chrono::milliseconds;
 
+  enum class EventKind : std::uint8_t { kAdd, kRemove, kRestart, kWipe, kCut };
+
   struct Refusals {
     common::Time first;
     common::Time last;
@@ -61,6 +63,8 @@
     /// silent.
     bool refuses = true;
     bool leaving = false;
+    /// A learner can take the vote of the machine, which is removed.
+    bool replaceable = false;
     common::Time leave_deadline;
     common::Duration downtime{};
     std::optional<common::Time> starts_at;
@@ -88,6 +92,9 @@
   void Execute(std::size_t index, consensus::Action& action);
   void Send(std::size_t from, const schema::ConsensusMessage& message);
   void Apply(Machine& machine, const consensus::ApplyEntries& action);
+  [[nodiscard]] EventKind RandomKind();
+  /// Plans an event right after another one, which random times rarely give.
+  void FollowUp(EventKind kind, common::Duration delay);
   void RandomEvent();
   void Restart(Machine& machine, bool announced, bool wipe);
   void RemoveForGood(Machine& machine, bool announced);
@@ -105,6 +112,8 @@
   [[nodiscard]] NodeStatus StatusOf(const Machine& machine) const;
   [[nodiscard]] Machine* MachineOf(std::uint64_t member);
   [[nodiscard]] Machine* LeaderOfSide(int side);
+  /// \returns true if a learner that runs can take the vote of a machine.
+  [[nodiscard]] bool IsReplaceable(const Machine& machine);
   [[nodiscard]] std::size_t CoreSize() const;
   [[nodiscard]] std::size_t RunningOnSide(int side) const;
   [[nodiscard]] std::size_t Lost() const;
@@ -116,6 +125,7 @@
   common::Time now_{std::chrono::hours(1)};
   common::Time end_;
   common::Time next_event_;
+  std::optional<EventKind> follow_up_;
   /// Time of the last event that makes the core unstable.
   common::Time disturbed_at_;
   common::Time acknowledged_at_;
--- a/tests/control/membership_simulation_test.cc
+++ b/tests/control/membership_simulation_test.cc
@@ -13,7 +13,7 @@
 namespace briarwood::control {
 namespace {
 
-constexpr std::uint64_t kSeeds = 300;
+constexpr std::uint64_t kSeeds = 800;
 constexpr unsigned kThreads = 4;
 
 // Guards against a side of a partition that acknowledges beside the larger part of the core,
