--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -327,8 +327,9 @@
   machine.join_sent_at = now_;
   const schema::Membership& membership = leader->raft->membership();
   std::uint64_t highest = membership.highest_id();
-  for (const schema::Member& member : membership.members())
+  for (const schema::Member& member : membership.members()) {
     highest = std::max(highest, member.id());
+  }
   schema::Member member;
   member.set_id(highest + 1);
   member.set_rpc_address(machine.address);
