--- a/tests/http/outgoing_test.cc
+++ b/tests/http/outgoing_test.cc
@@ -227,9 +227,11 @@
 TEST_F(OutgoingTest, RejectsAStatusThatDoesNotExist) {
   for (const std::string status : {"000", "099", "600", "999"}) {
     const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::string text = "HTTP/1.1 ";
+    text.append(status).append(" Odd\r\nContent-Length: ");
+    text.append(std::to_string(inner.size())).append("\r\n\r\n").append(inner);
     const auto serve = [&](Peer& peer) {
-      peer.Send("HTTP/1.1 " + status + " Odd\r\nContent-Length: " + std::to_string(inner.size()) +
-                "\r\n\r\n" + inner);
+      peer.Send(text);
       peer.Read(1);
     };
     const Result result = Call(serve, 10);
