Record at once that a learner has failed

Cause: a new leader counted learners that had failed until it had seen 1.5 s of silence, and kept the vote of the next member that stopped. They were recorded only after 5 or 30 s.

Change: a learner that has failed is recorded as departed once no other change is needed.

--- a/src/control/membership_planner.cc
+++ b/src/control/membership_planner.cc
@@ -65,6 +65,7 @@
   const schema::Member* failed_voter = nullptr;
   // A member that announced its stop precedes one that is only silent.
   std::pair<bool, common::Duration> failure;
+  std::optional<consensus::MembershipChange> record;
   for (const schema::Member& member : membership.members()) {
     if (member.id() == self.value()) {
       ++counted;
@@ -75,11 +76,12 @@
       return consensus::RemoveMember{common::MemberId(member.id())};
     }
     const Condition condition = ConditionOf(member, contacts, commit, leading_since, now);
-    const bool departed = (member.departed() && !condition.present) || HasDeparted(condition);
     // A learner that has failed may have been replaced. To count it would keep the vote of the next
     // member that fails.
-    const bool gone = departed || (!member.voter() && HasFailed(condition));
-    if (!member.without_disk() && !gone) ++counted;
+    const bool departed = member.voter()
+                              ? HasDeparted(condition)
+                              : HasFailed(condition) || (member.departed() && !condition.present);
+    if (!member.without_disk() && !departed) ++counted;
     if (member.voter()) {
       ++voters;
       if (newest_voter == nullptr || member.id() > newest_voter->id()) newest_voter = &member;
@@ -94,7 +96,7 @@
       return consensus::RemoveMember{common::MemberId(member.id())};
     }
     if (departed != member.departed()) {
-      return consensus::SetDeparted{.id = common::MemberId(member.id()), .departed = departed};
+      record = consensus::SetDeparted{.id = common::MemberId(member.id()), .departed = departed};
     }
     const bool ready = !member.without_disk() && condition.caught_up && !HasFailed(condition);
     if (ready && ready_learner == nullptr) ready_learner = &member;
@@ -106,7 +108,7 @@
   if (ready_learner != nullptr && (voters < target || replaces)) {
     return consensus::PromoteLearner{common::MemberId(ready_learner->id())};
   }
-  if (voters <= target) return std::nullopt;
+  if (voters <= target) return record;
   const schema::Member* demoted = failed_voter != nullptr ? failed_voter : newest_voter;
   return consensus::DemoteVoter{common::MemberId(demoted->id())};
 }
