Count learners only while they answer

Cause: a new leader counted learners it had not heard from for 1.5 s. Right after the election it gave a vote to the spare member (promote:7, 9 ms after the leader line of term 5) although the target was three; that member was lost next.

Change: a learner counts if it acknowledged something within 0.5 s. Healthy voters are demoted only after 1.5 s of leadership, because a new leader has not heard from all learners.

--- a/include/briarwood/control/membership_planner.h
+++ b/include/briarwood/control/membership_planner.h
@@ -29,8 +29,8 @@
 
 /// Plans membership changes on the leader, one at a time.
 ///
-/// The members with a disk that are not known to be gone are counted, learners only while they have
-/// not failed. The target number of voters
+/// The members with a disk that are not known to be gone are counted, learners only while they
+/// answer. The target number of voters
 /// is the largest odd number up to that count, so that each majority of the voters is at least half
 /// of the counted members: the smaller side of a partition cannot commit. A learner that has caught
 /// up is promoted if there are fewer voters than the target or a voter has failed; voters above the
--- a/src/control/membership_planner.cc
+++ b/src/control/membership_planner.cc
@@ -76,12 +76,10 @@
       return consensus::RemoveMember{common::MemberId(member.id())};
     }
     const Condition condition = ConditionOf(member, contacts, commit, leading_since, now);
-    // A learner that has failed may have been replaced. To count it would keep the vote of the next
-    // member that fails.
-    const bool departed = member.voter()
-                              ? HasDeparted(condition)
-                              : HasFailed(condition) || (member.departed() && !condition.present);
-    if (!member.without_disk() && !departed) ++counted;
+    // A learner that does not answer may have been replaced. To count it would keep the vote of the
+    // next member that fails.
+    const bool counts = member.voter() ? !HasDeparted(condition) : condition.present;
+    if (!member.without_disk() && counts) ++counted;
     if (member.voter()) {
       ++voters;
       if (newest_voter == nullptr || member.id() > newest_voter->id()) newest_voter = &member;
@@ -95,6 +93,7 @@
     if (condition.silence > options_.learner_timeout) {
       return consensus::RemoveMember{common::MemberId(member.id())};
     }
+    const bool departed = HasFailed(condition) || (member.departed() && !condition.present);
     if (departed != member.departed()) {
       record = consensus::SetDeparted{.id = common::MemberId(member.id()), .departed = departed};
     }
@@ -109,6 +108,8 @@
     return consensus::PromoteLearner{common::MemberId(ready_learner->id())};
   }
   if (voters <= target) return record;
+  // A new leader has not heard from all learners yet, and may count too few members.
+  if (failed_voter == nullptr && now - leading_since < options_.silence_timeout) return record;
   const schema::Member* demoted = failed_voter != nullptr ? failed_voter : newest_voter;
   return consensus::DemoteVoter{common::MemberId(demoted->id())};
 }
--- a/tests/control/membership_planner_test.cc
+++ b/tests/control/membership_planner_test.cc
@@ -232,6 +232,18 @@
   EXPECT_EQ(Next(kNow - milliseconds(600)), "demote 3");
 }
 
+// Guards against a new leader that counts a learner before it has heard from it, and gives a vote
+// to a spare member instead of replacing the next member that fails.
+TEST_F(MembershipPlannerTest, ANewLeaderCountsLearnersThatAnswer) {
+  Add(1, true, milliseconds(0));
+  Add(2, true, milliseconds(10));
+  Add(3, true, milliseconds(10));
+  Add(4, false, milliseconds(10));
+  Add(5, false, milliseconds(10));
+  Contact(4).last_ack.reset();
+  EXPECT_EQ(Next(kNow - milliseconds(100)), "nothing");
+}
+
 // Guards against a member that is back and still does not count.
 TEST_F(MembershipPlannerTest, CountsADepartedMemberThatIsBack) {
   Add(1, true, milliseconds(0));
