--- a/include/briarwood/control/membership_planner.h
+++ b/include/briarwood/control/membership_planner.h
@@ -30,15 +30,14 @@
 /// Plans membership changes on the leader, one at a time.
 ///
 /// The members with a disk that are not known to be gone are counted, learners only while they
-/// answer. The target number of voters
-/// is the largest odd number up to that count, so that each majority of the voters is at least half
-/// of the counted members: the smaller side of a partition cannot commit. A learner that has caught
-/// up is promoted if there are fewer voters than the target or a voter has failed; voters above the
-/// target are demoted, failed ones first.
+/// answer. The target number of voters is the largest odd number up to that count, so that each
+/// majority of the voters is at least half of the counted members: the smaller side of a partition
+/// cannot commit. A learner that has caught up is promoted if there are fewer voters than the
+/// target or a voter has failed; voters above the target are demoted, failed ones first.
 ///
 /// A failed voter remains in the group as a learner with its log, and counts again as soon as it is
-/// back. That a learner is taken to be gone is recorded in the membership, so that the next leader
-/// does not count it until it has seen the same evidence. Members that a newer member at the same
+/// back. That a learner has failed is recorded in the membership, so that the next leader does not
+/// expect it to take a vote. Members that a newer member at the same
 /// address superseded are removed.
 class MembershipPlanner {
  public:
